--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Each target sets up what it needs: a virtual environment from exact pins.
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.ready
+
+.PHONY: demo test lint format bench slopes costs proto clean
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python examples/demo.py
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(STAMP)
+	$(BIN)/python -m bench.policies
+
+slopes: $(STAMP)
+	$(BIN)/python -m bench.slopes
+
+costs: $(STAMP)
+	$(BIN)/python -m bench.costs
+
+proto: $(STAMP)
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I . \
+	  --python_out=. --grpclib_python_out=. greengagemoor/wire/peers.proto
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/greengagemoor/application.py
@@ -0,0 +1,337 @@
+"""Wires deciders, shells and hooks of one process."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+from greengagemoor import events, log
+from greengagemoor.control import messages as control
+from greengagemoor.control.client import Done
+from greengagemoor.control.decider import ControlDecider
+from greengagemoor.control.state import Timing as ControlTiming
+from greengagemoor.events import Events
+from greengagemoor.membership import messages as membership
+from greengagemoor.membership.decider import MembershipDecider
+from greengagemoor.membership.rows import InstanceRow, InstanceState, hash64
+from greengagemoor.membership.state import Timing as MembershipTiming
+from greengagemoor.metrics import Metrics
+from greengagemoor.node import CloseEntry, Node, StartUp
+from greengagemoor.query import messages as query
+from greengagemoor.query.decider import QueryDecider
+from greengagemoor.shell import routes
+from greengagemoor.shell.clock import Clock
+from greengagemoor.shell.disk import DiskWriter
+from greengagemoor.shell.dispatch import Dispatcher
+from greengagemoor.shell.http_server import HttpServer
+from greengagemoor.shell.loop import TickLoop
+from greengagemoor.shell.peers import PeerTransport
+from greengagemoor.shell.replies import Replies
+from greengagemoor.storage.folder import DataFolder
+from greengagemoor.storage.store import Store
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagemoor.config import Settings
+    from greengagemoor.control.decider import ControlStatus
+
+IDLE_LOOK_S = 0.02
+OVERLOAD_HOLD_S = 3.0
+LONGEST_FINISH_S = 600.0
+
+
+class Application:
+    """One process: an entry, a control instance, or both.
+
+    Embedders add to it before ``start``: ``add_route`` for HTTP paths,
+    ``add_listener`` for events, ``add_handler`` for messages of the deciders.
+    """
+
+    def __init__(self, cfg: Settings):
+        """Builds all parts; nothing listens or is read yet."""
+        self.cfg = cfg
+        self.clock = Clock()
+        self.metrics = Metrics()
+        self.events = Events()
+        self.routes = list(routes.ROUTES)
+        self.gate = threading.Semaphore(cfg.waiting_requests)
+        self._replies = Replies()
+        self._store: Store | None = None
+        self._member_id = ""
+        if cfg.is_control:
+            folder = DataFolder(cfg.data_folder, cfg.instance)
+            self._store = Store(folder)
+            self._member_id = f"{cfg.instance}#{folder.format.identity}"
+        self.node = self._make_node()
+        self._loop = TickLoop(self.node, self.clock, self.events)
+        self._peers = PeerTransport(
+            cfg.instance, cfg.peer_address, self._loop.put
+        )
+        me = self.node.membership.state.me
+        self._dispatcher = Dispatcher(
+            f"{me.name}.{me.incarnation}",
+            cfg.attempt_threads,
+            self.clock,
+            self._loop.put,
+        )
+        self._disk = (
+            DiskWriter(self._store, self._loop.put) if self._store else None
+        )
+        self._http = HttpServer(cfg, self)
+        self._overload_until: float | None = None
+        self._connect()
+
+    def add_route(self, method: str, pattern: str, handler: Callable) -> None:
+        """Adds an HTTP path; ``handler`` takes a ``routes.HttpRequest``."""
+        import re
+
+        self.routes.append(routes.Route(method, re.compile(pattern), handler))
+
+    def add_listener(self, name: str, listener: Callable[[Any], None]) -> None:
+        """Adds a listener to an event of ``greengagemoor.events``."""
+        self.events.connect(name, listener)
+
+    def add_handler(self, kind: type, handler: Callable[[Any], None]) -> None:
+        """Sets what is done with a kind of message that the node sends."""
+        self._loop.add_handler(kind, handler)
+
+    def _make_node(self) -> Node:
+        cfg = self.cfg
+        rng = random.Random(cfg.seed or hash64(cfg.instance))
+        group = {p.instance: p.address for p in cfg.control_group}
+        seeds = {p.instance: p.address for p in cfg.seeds} | group
+        return Node(
+            MembershipDecider(
+                self._own_row(), seeds, rng, self._membership_timing()
+            ),
+            rng,
+            query_decider=(
+                QueryDecider(cfg.data_centre, rng) if cfg.is_entry else None
+            ),
+            control_decider=self._make_control(group, rng),
+            control_targets=group or ([cfg.instance] if cfg.is_control else ()),
+        )
+
+    def _own_row(self) -> InstanceRow:
+        cfg = self.cfg
+        return InstanceRow(
+            name=cfg.instance,
+            incarnation=int(time.time() * 1000),
+            sequence=0,
+            state=InstanceState.STARTING,
+            peer_address=cfg.peer_address,
+            http_address=cfg.http_address,
+            data_centre=cfg.data_centre,
+            region=cfg.region,
+            roles=cfg.roles,
+        )
+
+    def _membership_timing(self) -> MembershipTiming:
+        return MembershipTiming(
+            interval=self.cfg.gossip_interval_s,
+            addresses_valid=self.cfg.addresses_valid_s,
+        )
+
+    def _make_control(
+        self, group: dict[str, str], rng: random.Random
+    ) -> ControlDecider | None:
+        cfg = self.cfg
+        if not cfg.is_control:
+            return None
+        others = {k: v for k, v in group.items() if k != cfg.instance}
+        return ControlDecider(
+            self._member_id,
+            cfg.peer_address,
+            others,
+            random.Random(rng.getrandbits(64)),
+            ControlTiming(heartbeat=cfg.heartbeat_s, election=cfg.election_s),
+            new_group=cfg.new_group,
+        )
+
+    def _connect(self) -> None:
+        give = self._replies.give
+        add = self._loop.add_handler
+        add(query.Reply, self._take_reply)
+        add(membership.AnnounceReply, lambda m: give(m.token, m))
+        add(membership.Addresses, lambda m: give(m.token, m))
+        add(Done, lambda m: give(m.token, m))
+        add(query.StartAttempt, self._dispatcher.start_attempt)
+        add(query.CancelAttempt, self._dispatcher.cancel_attempt)
+        add(control.Send, self._peers.send)
+        if self._disk is not None:
+            add(control.Persist, self._disk.write)
+        add(query.DocumentChanged, self._note_document)
+        add(query.ServerChanged, self._note_server)
+        add(query.ServerGone, self._note_server_gone)
+        add(query.ControlReady, self._note_control)
+
+    def _take_reply(self, reply: query.Reply) -> None:
+        self._replies.give(reply.token, reply)
+        self.metrics.note_reply(reply)
+        log.event(
+            "answer",
+            level="DEBUG",
+            request_id=reply.answer.request_id,
+            caller=reply.caller,
+            request_class=reply.request_class,
+            code=int(reply.answer.code),
+            elapsed_s=reply.elapsed_s,
+            attempts=reply.answer.attempts,
+        )
+        self.events.emit(events.ANSWERED, reply)
+
+    def _note_document(self, msg: query.DocumentChanged) -> None:
+        log.event("document_in_force", version=msg.version)
+        self.events.emit(events.DOCUMENT_IN_FORCE, msg)
+
+    def _note_server(self, msg: query.ServerChanged) -> None:
+        log.event(
+            "server_changed",
+            service=msg.server.service,
+            server=msg.server.name,
+            state=msg.server.state.value,
+            share=msg.share,
+        )
+        self.events.emit(events.SERVER_CHANGED, msg)
+
+    def _note_server_gone(self, msg: query.ServerGone) -> None:
+        log.event("server_gone", service=msg.service, server=msg.name)
+        self.events.emit(events.SERVER_CHANGED, msg)
+
+    def _note_control(self, msg: query.ControlReady) -> None:
+        log.event("control_ready", ready=msg.ready)
+        self.events.emit(events.CONTROL_CHANGED, msg)
+
+    def start(self) -> None:
+        """Recovers durable state, then listens."""
+        recovered = self._store.recover() if self._store else None
+        if self._disk is not None:
+            self._disk.start()
+        self._peers.start()
+        self._loop.put(StartUp())
+        if recovered is not None:
+            self._loop.put(recovered)
+        self._loop.start()
+        self._http.start()
+        log.event(
+            "started",
+            instance=self.cfg.instance,
+            http=self.cfg.http_address,
+            peers=self.cfg.peer_address,
+            member=self._member_id,
+        )
+
+    def shut_down(self) -> None:
+        """Leaves without cutting off anything in flight.
+
+        Leaves the addresses first and goes on serving for as long as callers
+        may hold an old address; then refuses new requests and finishes what
+        runs.
+        """
+        log.event("leaving", instance=self.cfg.instance)
+        self._loop.put(membership.Leave())
+        if self.cfg.is_entry:
+            time.sleep(self.cfg.addresses_valid_s + self.cfg.leave_margin_s)
+            self._loop.put(CloseEntry())
+            self._finish_running()
+        self._loop.put(membership.Stop())
+        time.sleep(IDLE_LOOK_S)
+        self._http.stop()
+        self._dispatcher.stop()
+        self._loop.stop()
+        self._peers.stop()
+        if self._disk is not None:
+            self._disk.stop()
+        log.event("stopped", instance=self.cfg.instance)
+
+    def _finish_running(self) -> None:
+        """Waits until no request and no record of an outcome is under way."""
+        until = self.clock.now() + LONGEST_FINISH_S
+        time.sleep(IDLE_LOOK_S)
+        while not self.node.is_idle and self.clock.now() < until:
+            time.sleep(IDLE_LOOK_S)
+
+    def ask(self, make: Callable[[int], object], wait_s: float) -> Any | None:
+        """Puts a message with a new token to the deciders.
+
+        Args:
+            make: builds the message from the token.
+            wait_s: longest wait for the answer.
+
+        Returns:
+            The answer, or None if it did not come in time.
+        """
+        token, fut = self._replies.open()
+        self._loop.put(make(token))
+        return self._replies.wait(token, fut, wait_s)
+
+    def note_gate_full(self) -> None:
+        """Counts a refusal at the gate, and has callers steered elsewhere."""
+        self.metrics.count("gate_refusals")
+        now = self.clock.now()
+        if self._overload_until is None:
+            self._loop.put(membership.Overload(active=True))
+            threading.Thread(target=self._end_overload, daemon=True).start()
+        self._overload_until = now + OVERLOAD_HOLD_S
+
+    def _end_overload(self) -> None:
+        while (left := self._overload_until - self.clock.now()) > 0:
+            time.sleep(left)
+        self._overload_until = None
+        self._loop.put(membership.Overload(active=False))
+
+    def control_status(self) -> ControlStatus | None:
+        """Returns the control role's status, None without that role."""
+        return self.node.control.status() if self.node.control else None
+
+    def status(self) -> dict[str, Any]:
+        """Returns what ``/v1/status`` shows."""
+        state = self.node.membership.state
+        fresh_s = self.clock.now() - state.fresh_at
+        return {
+            "instance": state.me.name,
+            "state": state.me.state.value,
+            "data_centre": state.me.data_centre,
+            "roles": list(state.me.roles),
+            "document_version": state.document_version,
+            "confirmed": state.confirmed,
+            "control_ready": state.control_ready,
+            "control_heard_s_ago": round(min(fresh_s, 1e9), 3),
+            "instances": {
+                row.name: row.state.value
+                for row in list(state.table.live_instances.values())
+            },
+            "backend_servers": {
+                key: server.state.value
+                for key, (server, _) in list(state.shown.items())
+            },
+        }
+
+    def gauges(self) -> dict[str, float]:
+        """Returns numbers of the moment for ``/metrics``."""
+        state = self.node.membership.state
+        gauges = {
+            "instances": len(state.table.live_instances),
+            "backend_servers": len(state.shown),
+            "document_version": state.document_version,
+            "tick_failures_total": self._loop.failures,
+            "peer_bytes_sent_total": self._peers.sent_bytes,
+            "peer_batches_sent_total": self._peers.sent_batches,
+        }
+        if self.node.query is not None:
+            counters = self.node.query.state.counters
+            gauges |= {
+                "attempts_total": counters.attempts,
+                "hedged_shards_total": counters.hedge_shards,
+                "retried_shards_total": counters.retry_shards,
+                "cancelled_attempts_total": counters.cancelled,
+                "late_answers_total": counters.late_answers,
+                "joined_requests_total": counters.joined,
+                "refused_requests_total": counters.refused,
+            }
+        if self._disk is not None:
+            gauges["disk_syncs_total"] = self._disk.syncs
+        return gauges
--- /dev/null
+++ b/greengagemoor/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each program."""
--- /dev/null
+++ b/greengagemoor/cmd/ctl.py
@@ -0,0 +1,283 @@
+"""The operators' tool: ``greengagemoorctl``."""
+
+from __future__ import annotations
+
+import difflib
+import json
+import time
+import uuid
+from enum import IntEnum
+from pathlib import Path
+from typing import Annotated, Any
+
+import attrs
+import typer
+import urllib3
+
+from greengagemoor.codes import Code
+from greengagemoor.config import Settings
+from greengagemoor.document import parse_document
+from greengagemoor.errors import DocumentError
+
+DEFAULT_AT = "127.0.0.1:8001"
+TIMEOUT_S = 30.0
+
+
+class Exit(IntEnum):
+    """Exit codes, as docs/OPERATING.md lists them."""
+
+    OK = 0
+    REFUSED = 1
+    INVALID = 2
+    CONFLICT = 3
+    UNKNOWN = 4
+    UNREACHABLE = 5
+
+
+_EXIT_OF_CODE = {
+    Code.ACCEPTED: Exit.OK,
+    Code.CURRENT: Exit.OK,
+    Code.WHOLE: Exit.OK,
+    Code.PARTIAL: Exit.OK,
+    Code.CONFLICT: Exit.CONFLICT,
+    Code.INVALID: Exit.INVALID,
+    Code.NOT_RUN_BAD_REQUEST: Exit.INVALID,
+    Code.APPLY_UNKNOWN: Exit.UNKNOWN,
+    Code.UNKNOWN: Exit.UNKNOWN,
+    Code.UNKNOWN_EXPIRED: Exit.UNKNOWN,
+}
+
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="Applies documents to greengagemoor and shows what it does.",
+)
+
+At = Annotated[
+    str,
+    typer.Option(
+        "--at", envvar="GREENGAGEMOOR_AT", help="IP:PORT of an instance."
+    ),
+]
+
+
+@attrs.frozen
+class _Reply:
+    status: int
+    body: Any
+    text: str
+
+
+def _call(at: str, method: str, path: str, body: Any = None) -> _Reply:
+    http = urllib3.PoolManager(retries=False)
+    try:
+        response = http.request(
+            method,
+            f"http://{at}{path}",
+            body=json.dumps(body) if body is not None else None,
+            headers={"Content-Type": "application/json"},
+            timeout=TIMEOUT_S,
+        )
+    except urllib3.exceptions.HTTPError as exc:
+        typer.echo(f"{at}: {type(exc).__name__}", err=True)
+        raise typer.Exit(Exit.UNREACHABLE) from exc
+    text = response.data.decode()
+    try:
+        return _Reply(response.status, json.loads(text), text)
+    except ValueError:
+        return _Reply(response.status, None, text)
+
+
+def _show(body: Any) -> None:
+    typer.echo(json.dumps(body, indent=2, sort_keys=True))
+
+
+def _end_with(reply: _Reply) -> None:
+    code = reply.body.get("code") if isinstance(reply.body, dict) else None
+    if code is None:
+        raise typer.Exit(Exit.OK if reply.status < 400 else Exit.REFUSED)
+    raise typer.Exit(_EXIT_OF_CODE.get(Code(code), Exit.REFUSED))
+
+
+def _read_document(path: Path) -> Any:
+    try:
+        text = path.read_text(encoding="utf-8")
+        parse_document(text)
+    except OSError as exc:
+        typer.echo(f"{path}: {exc.strerror}", err=True)
+        raise typer.Exit(Exit.INVALID) from exc
+    except DocumentError as exc:
+        for fault in exc.faults:
+            typer.echo(f"{path}: {fault}", err=True)
+        raise typer.Exit(Exit.INVALID) from exc
+    return json.loads(text)
+
+
+@app.command()
+def apply(
+    document: Annotated[Path, typer.Argument(help="Document file, JSON.")],
+    replaces: Annotated[
+        int | None,
+        typer.Option(help="Version it replaces; the current one if left out."),
+    ] = None,
+    apply_id: Annotated[
+        str,
+        typer.Option(help="Id of this change; resend the same after a loss."),
+    ] = "",
+    at: At = DEFAULT_AT,
+) -> None:
+    """Applies a document as a whole.
+
+    With --replaces left out, the version is read first; a change that comes
+    in between then wins, and this one is told so.
+    """
+    decoded = _read_document(document)
+    if replaces is None:
+        replaces = _current(at)["version"]
+    body = {
+        "apply_id": apply_id or f"apply-{uuid.uuid4().hex}",
+        "replaces": replaces,
+        "document": decoded,
+    }
+    reply = _call(at, "PUT", "/v1/document", body)
+    _show({"apply_id": body["apply_id"], **reply.body})
+    _end_with(reply)
+
+
+def _current(at: str) -> dict[str, Any]:
+    reply = _call(at, "GET", "/v1/document")
+    if reply.body.get("code") != Code.CURRENT:
+        _show(reply.body)
+        raise typer.Exit(Exit.REFUSED)
+    return reply.body
+
+
+@app.command()
+def show(at: At = DEFAULT_AT) -> None:
+    """Shows the current document, confirmed by a quorum."""
+    _show(_current(at))
+
+
+@app.command()
+def diff(
+    document: Annotated[Path, typer.Argument(help="Document file, JSON.")],
+    at: At = DEFAULT_AT,
+) -> None:
+    """Shows how a document differs from the current one."""
+    wanted = _read_document(document)
+    current = _current(at)
+    sides = [
+        json.dumps(side, indent=2, sort_keys=True).splitlines()
+        for side in (current["document"] or {}, wanted)
+    ]
+    lines = difflib.unified_diff(
+        *sides,
+        f"version {current['version']}",
+        str(document),
+        lineterm="",
+    )
+    for line in lines:
+        typer.echo(line)
+
+
+@app.command()
+def status(at: At = DEFAULT_AT) -> None:
+    """Shows what an instance knows: document, instances, backend servers."""
+    reply = _call(at, "GET", "/v1/status")
+    _show(reply.body)
+    _end_with(reply)
+
+
+@app.command()
+def members(at: At = DEFAULT_AT) -> None:
+    """Shows the control group, and whether it can bear a further loss."""
+    reply = _call(at, "GET", "/v1/members")
+    _show(reply.body)
+    warning = reply.body.get("warning")
+    if warning:
+        typer.echo(f"warning: {warning}", err=True)
+    _end_with(reply)
+
+
+@app.command("remove-member")
+def remove_member(
+    member_id: Annotated[str, typer.Argument(help="As `members` shows it.")],
+    at: At = DEFAULT_AT,
+) -> None:
+    """Takes a member that will not come back out of the control group."""
+    reply = _call(at, "DELETE", f"/v1/members/{member_id}")
+    _show(reply.body)
+    _end_with(reply)
+
+
+@app.command()
+def addresses(
+    service: Annotated[str, typer.Argument(help="Name of the service.")],
+    at: At = DEFAULT_AT,
+) -> None:
+    """Shows which entries the callers of a service are told to use."""
+    reply = _call(at, "GET", f"/v1/addresses?service={service}")
+    _show(reply.body)
+    _end_with(reply)
+
+
+@app.command()
+def request(
+    service: Annotated[str, typer.Argument(help="Name of the service.")],
+    request_class: Annotated[str, typer.Argument(help="Request class.")],
+    body: Annotated[str, typer.Option(help="JSON for the searchers.")] = "null",
+    caller: Annotated[str, typer.Option(help="Caller's name.")] = "operator",
+    key: Annotated[str | None, typer.Option(help="Asks one shard.")] = None,
+    request_id: Annotated[str, typer.Option(help="Made up if empty.")] = "",
+    deadline_s: Annotated[float | None, typer.Option()] = None,
+    not_repeatable: Annotated[
+        bool, typer.Option("--not-repeatable", help="Run at most once.")
+    ] = False,
+    at: At = DEFAULT_AT,
+) -> None:
+    """Sends one request and shows the whole answer."""
+    made_up = f"{int(time.time() * 1000)}-{uuid.uuid4().hex}"
+    payload = {
+        "caller": caller,
+        "request_class": request_class,
+        "request_id": request_id or made_up,
+        "deadline_s": deadline_s,
+        "repeatable": not not_repeatable,
+        "key": key,
+        "body": json.loads(body),
+    }
+    reply = _call(at, "POST", f"/v1/services/{service}/requests", payload)
+    _show(reply.body)
+    _end_with(reply)
+
+
+@app.command()
+def histograms(at: At = DEFAULT_AT) -> None:
+    """Shows latency, coverage and attempts by caller and request class."""
+    reply = _call(at, "GET", "/v1/histograms")
+    for row in reply.body["rows"]:
+        values = " ".join(f"{value:12g}" for value in row["values"])
+        typer.echo(
+            f"{row['caller']:20} {row['request_class']:20} "
+            f"{row['measure']:18} n={row['count']:<8} "
+            f"p50/p90/p99/p99.9 {values}"
+        )
+
+
+@app.command("explain-settings")
+def explain_settings() -> None:
+    """Lists every setting of greengagemoord, its default and its meaning."""
+    for field in attrs.fields(Settings):
+        required = field.default is attrs.NOTHING
+        default = "required" if required else repr(field.default)
+        typer.echo(f"{field.name} ({default}): {field.metadata['doc']}")
+
+
+def main() -> None:
+    """Entry point of the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/greengagemoor/cmd/daemon.py
@@ -0,0 +1,84 @@
+"""The daemon: ``greengagemoord SETTINGS.json``."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+from pathlib import Path
+from typing import Annotated, NoReturn
+
+import typer
+
+from greengagemoor import log
+from greengagemoor.application import Application
+from greengagemoor.config import Settings, load_settings
+from greengagemoor.errors import SettingsError, StorageError
+
+EXIT_INVALID = 2
+EXIT_STORAGE = 3
+EXIT_NETWORK = 4
+
+
+def run(
+    settings: Annotated[Path, typer.Argument(help="Settings file, JSON.")],
+    check: Annotated[
+        bool, typer.Option(help="Check the settings and end.")
+    ] = False,
+) -> None:
+    """Runs one instance until it gets SIGTERM or SIGINT.
+
+    Exit codes: 0 ended in order, 2 invalid settings, 3 the data folder can't
+    be used, 4 an address can't be listened on.
+    """
+    cfg = _load(settings)
+    if check:
+        typer.echo(f"{settings}: valid")
+        return
+    log.set_up(cfg.log_level, cfg.instance)
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    _serve(cfg, stopping)
+
+
+def _load(path: Path) -> Settings:
+    try:
+        return load_settings(path)
+    except SettingsError as exc:
+        for fault in exc.faults:
+            typer.echo(f"{path}: {fault}", err=True)
+        raise typer.Exit(EXIT_INVALID) from exc
+
+
+def _serve(cfg: Settings, stopping: threading.Event) -> None:
+    try:
+        application = Application(cfg)
+        application.start()
+    except StorageError as exc:
+        log.event("storage_unusable", level="ERROR", reason=exc)
+        # Threads that started before the failure must not keep us alive.
+        _leave_at_once(EXIT_STORAGE)
+    except OSError as exc:
+        log.event("listen_failed", level="ERROR", reason=exc)
+        _leave_at_once(EXIT_NETWORK)
+    stopping.wait()
+    # A second signal only sets the event again: it does not cut this short.
+    application.shut_down()
+
+
+def _leave_at_once(code: int) -> NoReturn:
+    sys.stderr.flush()
+    os._exit(code)
+
+
+def main() -> None:
+    """Entry point of the program."""
+    app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+    app.command()(run)
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/greengagemoor/control/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions on replicated state: documents and the ledger."""
--- /dev/null
+++ b/greengagemoor/control/decider.py
@@ -0,0 +1,262 @@
+"""The control decider: a member of the control group, without disk or clock."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from greengagemoor.control import (
+    election,
+    members,
+    operations,
+    replication,
+)
+from greengagemoor.control import messages as m
+from greengagemoor.control.state import (
+    Held,
+    Role,
+    State,
+    Timing,
+    flush,
+    note_synced,
+    release,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+
+@attrs.frozen
+class MemberStatus:
+    """How the leader sees a member."""
+
+    member_id: str
+    instance: str
+    voter: bool
+    alive: bool
+    match_index: int
+
+
+@attrs.frozen
+class ControlStatus:
+    """What ``greengagemoorctl members`` shows.
+
+    Attributes:
+        spare: voters that may still be lost before the group stops; None when
+            this member does not lead and so can't tell.
+    """
+
+    role: str
+    group: str
+    leader: str
+    term: int
+    commit: int
+    applied: int
+    last_index: int
+    document_version: int
+    ledger_rows: int
+    members: tuple[MemberStatus, ...]
+    spare: int | None
+    warning: str
+
+
+class ControlDecider:
+    """One member: elections, replication, documents and the ledger.
+
+    Messages in: ``Received``, ``Persisted``, ``PersistFailed`` and once, first,
+    ``Recovered``. Messages out: ``Send``, ``Persist``, ``DocumentAccepted``,
+    ``Confirmed``. After ``PersistFailed`` it stays silent: what it wrote may
+    be lost, and a restart must find out what is left.
+    """
+
+    def __init__(
+        self,
+        member_id: str,
+        address: str,
+        peers: dict[str, str],
+        rng: random.Random,
+        timing: Timing | None = None,
+        *,
+        new_group: bool = False,
+    ):
+        """Starts outside any group, until ``Recovered`` says otherwise.
+
+        Args:
+            member_id: ``instance#identity`` of the data folder.
+            address: peer address of this process.
+            peers: the other control instances of the settings, and their
+                addresses.
+            rng: seeded source for election times.
+            timing: intervals, or None for the defaults.
+            new_group: whether an empty member may found a group.
+        """
+        self.state = State(
+            instance=member_id.partition("#")[0],
+            member_id=member_id,
+            address=address,
+            peers=peers,
+            rng=rng,
+            timing=timing or Timing(),
+            new_group=new_group,
+        )
+
+    def step(self, now: float, msgs: Iterable[object]) -> list:
+        """Runs one tick; see the class for the messages."""
+        state = self.state
+        state.now = max(now, state.now)
+        state.out = []
+        for msg in msgs:
+            self._receive(msg)
+        if state.role is Role.FAILED:
+            return []
+        election.tick(state)
+        members.tick(state)
+        self._lead()
+        operations.finish(state)
+        flush(state)
+        self._release(release(state))
+        return state.out
+
+    def _lead(self) -> None:
+        state = self.state
+        if state.role is not Role.LEADER:
+            return
+        if state.broadcast_due or state.now >= state.heartbeat_at:
+            replication.broadcast(state)
+        operations.confirm(state)
+
+    def next_wake(self) -> float | None:
+        """Returns when a tick is due although no message came."""
+        state = self.state
+        if state.role is Role.FAILED:
+            return None
+        if state.role is Role.LEADER:
+            return state.now if state.broadcast_due else state.heartbeat_at
+        if state.role is Role.IDLE:
+            return state.join_at
+        if not state.is_voter:
+            return min(state.join_at, state.election_at)
+        return state.election_at
+
+    def _receive(self, msg: object) -> None:
+        state = self.state
+        if isinstance(msg, m.PersistFailed):
+            state.role = Role.FAILED
+            state.failure = msg.reason
+        if state.role is Role.FAILED:
+            return
+        if isinstance(msg, m.Received):
+            self._receive_payload(msg.sender, msg.payload)
+        elif isinstance(msg, m.Persisted):
+            self._release(note_synced(state, msg.op))
+            replication.commit_by_quorum(state)
+        elif isinstance(msg, m.Recovered):
+            self._recover(msg)
+
+    def _receive_payload(self, sender: str, payload: object) -> None:
+        state = self.state
+        handler = _MEMBER_HANDLERS.get(type(payload))
+        if handler is not None:
+            # A message of another group, or for an identity that this
+            # instance had before it lost its disk, is not for this member.
+            ours = payload.group == state.group or (
+                not state.group and not isinstance(payload, m.VoteRequest)
+            )
+            if ours and payload.target == state.member_id:
+                handler(state, payload)
+        elif isinstance(payload, m.OpRequest):
+            operations.take(state, sender, payload)
+        elif isinstance(payload, m.JoinRequest):
+            members.take_request(state, sender, payload)
+        elif isinstance(payload, m.JoinReply):
+            members.take_reply(state, sender, payload)
+
+    def _release(self, items: list[Held]) -> None:
+        for held in items:
+            if held.send is not None:
+                self.state.out.append(held.send)
+            else:
+                election.take_own_vote(self.state, held.vote_term)
+
+    def _recover(self, msg: m.Recovered) -> None:
+        state = self.state
+        if msg.hard is None:
+            return
+        state.group = msg.hard.group
+        state.term = msg.hard.term
+        state.voted_for = msg.hard.voted_for
+        if msg.snapshot is not None:
+            replication.restore(state, msg.snapshot)
+            documents = state.machine.documents
+            if documents.version:
+                state.out.append(
+                    m.DocumentAccepted(documents.version, documents.text)
+                )
+        state.log.merge(msg.entries)
+        state.set_members()
+        state.disk.synced_index = state.log.last_index
+        state.role = Role.FOLLOWER
+        state.reset_election()
+
+    def status(self) -> ControlStatus:
+        """Returns what operators are shown."""
+        state = self.state
+        rows = tuple(self._member_status(x) for x in state.members.values())
+        spare = self._spare(rows)
+        return ControlStatus(
+            role=state.role.value,
+            group=state.group,
+            leader=state.leader_instance,
+            term=state.term,
+            commit=state.commit,
+            applied=state.applied,
+            last_index=state.log.last_index,
+            document_version=state.machine.documents.version,
+            ledger_rows=len(state.machine.ledger),
+            members=rows,
+            spare=spare,
+            warning=self._warning(spare),
+        )
+
+    def _member_status(self, member: m.Member) -> MemberStatus:
+        state = self.state
+        progress = state.progress.get(member.member_id)
+        own = member.member_id == state.member_id
+        alive = own or (
+            progress is not None
+            and progress.last_ack >= state.now - state.timing.election
+        )
+        match_index = state.log.last_index if own else 0
+        return MemberStatus(
+            member_id=member.member_id,
+            instance=member.instance,
+            voter=member.voter,
+            alive=alive,
+            match_index=progress.match_index if progress else match_index,
+        )
+
+    def _spare(self, rows: tuple[MemberStatus, ...]) -> int | None:
+        if self.state.role is not Role.LEADER:
+            return None
+        alive = sum(row.voter and row.alive for row in rows)
+        return alive - (len(self.state.voters) // 2 + 1)
+
+    def _warning(self, spare: int | None) -> str:
+        if self.state.failure:
+            return f"this member stopped: {self.state.failure}"
+        if spare is None:
+            return ""
+        if spare <= 0:
+            return "a further loss stops the group"
+        return ""
+
+
+_MEMBER_HANDLERS: dict[type, Callable[[State, object], None]] = {
+    m.VoteRequest: election.take_request,
+    m.VoteReply: election.take_reply,
+    m.AppendRequest: replication.take_append,
+    m.AppendReply: replication.take_reply,
+    m.InstallSnapshot: replication.take_snapshot,
+}
--- /dev/null
+++ b/greengagemoor/control/ledger.py
@@ -0,0 +1,169 @@
+"""Replicated state machine of requests that run at most once."""
+
+from __future__ import annotations
+
+import heapq
+
+import attrs
+
+from greengagemoor.codes import Code, is_not_run
+from greengagemoor.control.messages import Claim, RecordOutcome
+from greengagemoor.query.messages import ClaimVerdict
+from greengagemoor.util import shape
+
+DEFAULT_WINDOW_S = 3600.0
+CLAIM_MARGIN_S = 1.0
+
+
+@attrs.define
+class ClaimRow:
+    """One claimed request.
+
+    Attributes:
+        ends: the claimant no longer sends after this time of the group.
+        code: None until the outcome is recorded.
+    """
+
+    claim_id: str
+    issued_at: float
+    ends: float
+    code: int | None = None
+    outcome: str = ""
+
+
+@attrs.frozen
+class ClaimAnswer:
+    """What the ledger says of a claim."""
+
+    verdict: ClaimVerdict
+    outcome: str = ""
+
+
+@attrs.frozen
+class _SavedRow:
+    caller: str
+    request_id: str
+    claim_id: str
+    issued_at: float
+    ends: float
+    code: int | None
+    outcome: str
+
+
+@attrs.frozen
+class _Saved:
+    time: float
+    window: float
+    closed_before: float
+    rows: tuple[_SavedRow, ...]
+
+
+class Ledger:
+    """Claims and outcomes of the kept window, by caller and request id.
+
+    An id older than the window is never granted: its row may have been
+    trimmed, and a second grant would run it twice.
+    """
+
+    def __init__(self):
+        self.time = 0.0
+        self.window = DEFAULT_WINDOW_S
+        self._closed_before = 0.0
+        self._rows: dict[tuple[str, str], ClaimRow] = {}
+        self._by_age: list[tuple[float, tuple[str, str]]] = []
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def advance(self, time: float) -> None:
+        """Moves the group's time forward and trims what left the window."""
+        self.time = max(self.time, time)
+        oldest = self.time - self.window
+        while self._by_age and self._by_age[0][0] < oldest:
+            _, key = heapq.heappop(self._by_age)
+            row = self._rows.get(key)
+            if row is not None and row.issued_at < oldest:
+                del self._rows[key]
+
+    def set_window(self, window: float) -> None:
+        """Changes how long ids are kept; a longer window never reopens ids.
+
+        After the window grows, ids between the old and new edge may already
+        be trimmed. They are refused until the old edge has moved past them.
+        """
+        if window > self.window:
+            edge = self.time - self.window
+            self._closed_before = max(self._closed_before, edge)
+        self.window = window
+
+    def claim(self, command: Claim) -> ClaimAnswer:
+        """Applies a committed claim; exactly one claim id is ever granted."""
+        key = (command.caller, command.request_id)
+        oldest = max(self.time - self.window, self._closed_before)
+        if command.issued_at < oldest:
+            return ClaimAnswer(ClaimVerdict.EXPIRED)
+        row = self._rows.get(key)
+        if row is None:
+            return self._grant(key, command)
+        if row.code is not None:
+            return ClaimAnswer(ClaimVerdict.DONE, row.outcome)
+        if row.claim_id == command.claim_id:
+            return ClaimAnswer(ClaimVerdict.GRANTED)
+        if self.time < row.ends:
+            return ClaimAnswer(ClaimVerdict.IN_PROGRESS)
+        return ClaimAnswer(ClaimVerdict.UNKNOWN)
+
+    def _grant(self, key: tuple[str, str], command: Claim) -> ClaimAnswer:
+        if command.issued_at > self.time + self.window:
+            return ClaimAnswer(ClaimVerdict.UNAVAILABLE)
+        self._rows[key] = ClaimRow(
+            claim_id=command.claim_id,
+            issued_at=command.issued_at,
+            ends=self.time + command.valid_for_s + CLAIM_MARGIN_S,
+        )
+        heapq.heappush(self._by_age, (command.issued_at, key))
+        return ClaimAnswer(ClaimVerdict.GRANTED)
+
+    def record(self, command: RecordOutcome) -> None:
+        """Applies a committed outcome; only the claimant's counts.
+
+        "Not run" from the claimant takes the claim away, so that the caller
+        may come back with the same id: the claimant never sends after it.
+        An unknown outcome may still be replaced by the true one.
+        """
+        key = (command.caller, command.request_id)
+        row = self._rows.get(key)
+        if row is None or row.claim_id != command.claim_id:
+            return
+        if row.code not in (None, Code.UNKNOWN):
+            return
+        if is_not_run(Code(command.code)):
+            del self._rows[key]
+            return
+        row.code = command.code
+        row.outcome = command.outcome
+
+    def save(self) -> str:
+        """Returns the whole state as text for a snapshot."""
+        rows = tuple(
+            _SavedRow(caller, request_id, **attrs.asdict(row))
+            for (caller, request_id), row in self._rows.items()
+        )
+        return shape.dump_json(
+            _Saved(self.time, self.window, self._closed_before, rows)
+        )
+
+    def load(self, text: str) -> None:
+        """Replaces the state by a saved one."""
+        saved = shape.parse_json(text, _Saved)
+        self.time = saved.time
+        self.window = saved.window
+        self._closed_before = saved.closed_before
+        self._rows = {
+            (row.caller, row.request_id): ClaimRow(
+                row.claim_id, row.issued_at, row.ends, row.code, row.outcome
+            )
+            for row in saved.rows
+        }
+        self._by_age = [(r.issued_at, key) for key, r in self._rows.items()]
+        heapq.heapify(self._by_age)
--- /dev/null
+++ b/greengagemoor/control/machine.py
@@ -0,0 +1,81 @@
+"""Applies committed log entries to the document and the ledger."""
+
+from __future__ import annotations
+
+import json
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from greengagemoor.codes import Code
+from greengagemoor.control.documents import ApplyResult, Documents
+from greengagemoor.control.ledger import (
+    DEFAULT_WINDOW_S,
+    ClaimAnswer,
+    Ledger,
+)
+from greengagemoor.control.messages import (
+    ApplyDocument,
+    ChangeMembers,
+    Claim,
+    NoOp,
+    RecordOutcome,
+)
+
+if TYPE_CHECKING:
+    from greengagemoor.control.messages import Command
+
+
+class Machine:
+    """All replicated state; the same entries give the same state anywhere."""
+
+    def __init__(self):
+        self.documents = Documents()
+        self.ledger = Ledger()
+
+    def apply(self, command: Command) -> ApplyResult | ClaimAnswer | None:
+        """Applies one committed command and returns its result, if any."""
+        self.ledger.advance(command.time)
+        return self._apply(command)
+
+    @singledispatchmethod
+    def _apply(self, command: Command) -> None:
+        raise TypeError(f"unknown command {type(command).__name__}")
+
+    @_apply.register
+    def _(self, command: NoOp) -> None:
+        pass
+
+    @_apply.register
+    def _(self, command: ChangeMembers) -> None:
+        pass
+
+    @_apply.register
+    def _(self, command: ApplyDocument) -> ApplyResult:
+        result = self.documents.apply(command)
+        if result.code is Code.ACCEPTED:
+            self._set_window()
+        return result
+
+    @_apply.register
+    def _(self, command: Claim) -> ClaimAnswer:
+        return self.ledger.claim(command)
+
+    @_apply.register
+    def _(self, command: RecordOutcome) -> None:
+        self.ledger.record(command)
+
+    def _set_window(self) -> None:
+        decoded = json.loads(self.documents.text)
+        window = float(decoded.get("ledger_window_s", DEFAULT_WINDOW_S))
+        self.ledger.set_window(window)
+
+    def save(self) -> bytes:
+        """Returns the whole state for a snapshot."""
+        parts = [self.documents.save(), self.ledger.save()]
+        return json.dumps(parts).encode()
+
+    def load(self, data: bytes) -> None:
+        """Replaces the whole state by a snapshot's."""
+        documents, ledger = json.loads(data)
+        self.documents.load(documents)
+        self.ledger.load(ledger)
--- /dev/null
+++ b/greengagemoor/control/messages.py
@@ -0,0 +1,361 @@
+"""Messages and log commands of the control group.
+
+Payloads travel between processes of ours as protobuf messages of the same
+names (wire/peers.proto). Times are unix seconds.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+@attrs.frozen
+class Member:
+    """A member of the control group.
+
+    Attributes:
+        member_id: ``instance#identity``; the identity is made with the data
+            folder, so a member that lost its disk comes back as another one.
+        voter: whether it votes and counts for a quorum.
+    """
+
+    member_id: str
+    instance: str
+    address: str
+    voter: bool
+
+
+# Log commands.
+
+
+@attrs.frozen
+class NoOp:
+    """Opens a leader's term and moves the group's time forward."""
+
+    time: float
+
+
+@attrs.frozen
+class ApplyDocument:
+    """Replaces document version ``replaces`` by ``text``."""
+
+    apply_id: str
+    replaces: int
+    text: str
+    time: float
+
+
+@attrs.frozen
+class Claim:
+    """Claims the right to send a request once.
+
+    Attributes:
+        claim_id: names one try of one entry process; the same try may be
+            proposed twice when a reply is lost.
+        issued_at: when the caller made the request id.
+        valid_for_s: after this time the claimant no longer sends.
+    """
+
+    caller: str
+    request_id: str
+    claim_id: str
+    issued_at: float
+    valid_for_s: float
+    time: float
+
+
+@attrs.frozen
+class RecordOutcome:
+    """Records how a claimed request ended."""
+
+    caller: str
+    request_id: str
+    claim_id: str
+    code: int
+    outcome: str
+    time: float
+
+
+@attrs.frozen
+class ChangeMembers:
+    """Replaces the member list; it differs by one voter at most."""
+
+    members: tuple[Member, ...]
+    time: float
+
+
+Command = NoOp | ApplyDocument | Claim | RecordOutcome | ChangeMembers
+
+
+@attrs.frozen
+class LogEntry:
+    """One entry of the replicated log."""
+
+    index: int
+    term: int
+    command: Command
+
+
+@attrs.frozen
+class Snapshot:
+    """The state machines after ``index``, as bytes.
+
+    Attributes:
+        members: the member list in force at ``index``.
+    """
+
+    index: int
+    term: int
+    members: tuple[Member, ...]
+    data: bytes
+
+
+# Between members of the group. ``source`` and ``target`` are member ids: a
+# message for the identity that an instance had before it lost its disk must
+# not reach the identity that it has now.
+
+
+@attrs.frozen
+class VoteRequest:
+    """Asks for a vote; with ``pre`` only whether it would be given."""
+
+    group: str
+    source: str
+    target: str
+    term: int
+    last_index: int
+    last_term: int
+    pre: bool
+
+
+@attrs.frozen
+class VoteReply:
+    """Gives or refuses a vote; ``term`` is the voter's."""
+
+    group: str
+    source: str
+    target: str
+    term: int
+    for_term: int
+    granted: bool
+    pre: bool
+
+
+@attrs.frozen
+class AppendRequest:
+    """Entries after ``prev_index``, or a heartbeat without any.
+
+    Attributes:
+        round: grows with each heartbeat round; a quorum of replies to a round
+            confirms that the leader led when it started.
+    """
+
+    group: str
+    source: str
+    target: str
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: tuple[LogEntry, ...]
+    commit: int
+    round: int
+
+
+@attrs.frozen
+class AppendReply:
+    """Answers an ``AppendRequest`` after its entries are synced.
+
+    Attributes:
+        match_index: highest index known equal to the leader's, if ``ok``.
+        last_index: the follower's last index, to find a common one faster.
+    """
+
+    group: str
+    source: str
+    target: str
+    term: int
+    ok: bool
+    match_index: int
+    last_index: int
+    round: int
+
+
+@attrs.frozen
+class InstallSnapshot:
+    """Whole state for a member whose next entries are trimmed."""
+
+    group: str
+    source: str
+    target: str
+    term: int
+    snapshot: Snapshot
+    round: int
+
+
+@attrs.frozen
+class JoinRequest:
+    """A process with the control role asks to belong to a group."""
+
+    member_id: str
+    instance: str
+    address: str
+
+
+@attrs.frozen
+class JoinReply:
+    """Tells a joiner which group this process belongs to, '' for none."""
+
+    group: str
+
+
+# Between any process of ours and the group.
+
+
+class OpKind(enum.Enum):
+    """What is asked of the leader."""
+
+    APPLY = "apply"
+    READ = "read"
+    CLAIM = "claim"
+    OUTCOME = "outcome"
+    REMOVE_MEMBER = "remove_member"
+
+
+@attrs.frozen
+class OpRequest:
+    """Asks the leader for one operation.
+
+    Attributes:
+        op_id: chosen by the asker; echoed in the reply.
+        command: what to append; None for READ.
+        known_version: the asker's document version, so that READ sends the
+            text only when it is newer.
+        member_id: the member to take out, for REMOVE_MEMBER.
+    """
+
+    op_id: int
+    kind: OpKind
+    command: Command | None = None
+    known_version: int = 0
+    member_id: str = ""
+
+
+@attrs.frozen
+class OpReply:
+    """The leader's reply, or another member's that it does not lead.
+
+    Attributes:
+        code: a ``codes.Code``; NOT_LEADER asks to try ``leader``.
+        version: document version after the operation, or current.
+        text: document text, or the recorded outcome of a claim.
+        winner: apply id that won the version, for a conflict.
+        verdict: a ``query.messages.ClaimVerdict`` value for CLAIM.
+        detail: faults, one a line.
+    """
+
+    op_id: int
+    code: int
+    leader: str = ""
+    version: int = 0
+    text: str = ""
+    winner: str = ""
+    verdict: str = ""
+    detail: str = ""
+
+
+# Between the decider and its disk.
+
+
+@attrs.frozen
+class HardState:
+    """What a member must not forget: its group, term and vote."""
+
+    group: str
+    term: int
+    voted_for: str
+
+
+@attrs.frozen
+class Persist:
+    """Write these in order, sync once, then say ``Persisted(op)``.
+
+    Attributes:
+        entries: an entry at or below the last index replaces the log's tail.
+        snapshot: replaces the whole log by itself, ``hard`` and ``entries``.
+    """
+
+    op: int
+    hard: HardState | None = None
+    entries: tuple[LogEntry, ...] = ()
+    snapshot: Snapshot | None = None
+
+
+@attrs.frozen
+class Persisted:
+    """Everything up to and including ``op`` is synced."""
+
+    op: int
+
+
+@attrs.frozen
+class PersistFailed:
+    """A write or sync failed; nothing from ``op`` on is durable."""
+
+    op: int
+    reason: str
+
+
+@attrs.frozen
+class Recovered:
+    """What the data folder held at start."""
+
+    hard: HardState | None
+    snapshot: Snapshot | None
+    entries: tuple[LogEntry, ...]
+
+
+# To other deciders and the shell.
+
+
+@attrs.frozen
+class Send:
+    """Send a payload to another process of ours, by instance name.
+
+    Attributes:
+        address: peer address when it is known to the sender, else ''.
+    """
+
+    to: str
+    payload: object
+    address: str = ""
+
+
+@attrs.frozen
+class Received:
+    """A payload came from another process of ours."""
+
+    sender: str
+    payload: object
+
+
+@attrs.frozen
+class DocumentAccepted:
+    """This member applied a committed document."""
+
+    version: int
+    text: str
+
+
+@attrs.frozen
+class Confirmed:
+    """A quorum confirmed that ``version`` was current.
+
+    Attributes:
+        stamp: (term, round); later confirmations compare greater.
+    """
+
+    group: str
+    stamp: tuple[int, int]
+    version: int
--- /dev/null
+++ b/greengagemoor/control/replication.py
@@ -0,0 +1,241 @@
+"""Replicates the log, commits by quorum, applies, and takes snapshots."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from greengagemoor.control import election
+from greengagemoor.control.log import Log
+from greengagemoor.control.messages import (
+    AppendReply,
+    AppendRequest,
+    DocumentAccepted,
+    InstallSnapshot,
+    Snapshot,
+)
+from greengagemoor.control.state import Applied, Role, note_replaced
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from greengagemoor.control.messages import LogEntry
+    from greengagemoor.control.state import Progress, State
+
+MOST_ENTRIES = 256
+SNAPSHOT_EVERY = 1000
+KEPT_BEHIND_SNAPSHOT = 200
+
+
+def broadcast(state: State) -> None:
+    """Sends new entries or a heartbeat to every other member."""
+    state.round += 1
+    state.heartbeat_at = state.now + state.timing.heartbeat
+    state.broadcast_due = False
+    for member_id, progress in state.progress.items():
+        _send(state, member_id, progress)
+
+
+def _send(state: State, member_id: str, progress: Progress) -> None:
+    if progress.next_index < state.log.first_index:
+        _send_snapshot(state, member_id, progress)
+        return
+    entries = state.log.slice(progress.next_index, MOST_ENTRIES)
+    prev_index = progress.next_index - 1
+    request = AppendRequest(
+        group=state.group,
+        source=state.member_id,
+        target=member_id,
+        term=state.term,
+        prev_index=prev_index,
+        prev_term=state.log.term_at(prev_index) or 0,
+        entries=entries,
+        commit=state.commit,
+        round=state.round,
+    )
+    progress.next_index += len(entries)
+    state.send(member_id, request)
+
+
+def _send_snapshot(state: State, member_id: str, progress: Progress) -> None:
+    """Sends the whole state, not again before the member could take it in."""
+    if state.now - progress.snapshot_sent_at < state.timing.election:
+        return
+    progress.snapshot_sent_at = state.now
+    request = InstallSnapshot(
+        group=state.group,
+        source=state.member_id,
+        target=member_id,
+        term=state.term,
+        snapshot=state.snapshot,
+        round=state.round,
+    )
+    state.send(member_id, request)
+
+
+def take_append(state: State, msg: AppendRequest) -> None:
+    """Takes in a leader's entries and acknowledges them once synced."""
+    if msg.term < state.term:
+        _reply(state, msg, ok=False, match_index=0)
+        return
+    _follow(state, msg)
+    if not _matches(state, msg.prev_index, msg.prev_term):
+        _reply(state, msg, ok=False, match_index=0)
+        return
+    new = state.log.merge(msg.entries)
+    if new:
+        note_replaced(state, new[0].index)
+        state.disk.entries.extend(new)
+        state.set_members()
+    match_index = msg.prev_index + len(msg.entries)
+    advance(state, min(msg.commit, match_index))
+    _reply(state, msg, ok=True, match_index=match_index)
+
+
+def _follow(state: State, msg: AppendRequest | InstallSnapshot) -> None:
+    if not state.group:
+        state.group = msg.group
+        state.disk.hard_changed = True
+    election.become_follower(state, msg.term, msg.source)
+    state.heard_leader_at = state.now
+    state.reset_election()
+
+
+def _matches(state: State, index: int, term: int) -> bool:
+    # What a snapshot covers is committed, so it is equal in every log.
+    if index < state.log.first_index - 1:
+        return True
+    return state.log.term_at(index) == term
+
+
+def _reply(
+    state: State,
+    msg: AppendRequest | InstallSnapshot,
+    *,
+    ok: bool,
+    match_index: int,
+) -> None:
+    reply = AppendReply(
+        group=state.group,
+        source=state.member_id,
+        target=msg.source,
+        term=state.term,
+        ok=ok,
+        match_index=match_index,
+        last_index=state.log.last_index,
+        round=msg.round,
+    )
+    state.send_after_sync(msg.source, reply)
+
+
+def take_snapshot(state: State, msg: InstallSnapshot) -> None:
+    """Replaces the state by the leader's, unless it is older."""
+    if msg.term < state.term:
+        _reply(state, msg, ok=False, match_index=0)
+        return
+    _follow(state, msg)
+    snapshot = msg.snapshot
+    if snapshot.index > state.commit:
+        restore(state, snapshot)
+        note_replaced(state, snapshot.index + 1)
+        state.disk.snapshot = snapshot
+        _announce_document(state)
+    _reply(state, msg, ok=True, match_index=snapshot.index)
+
+
+def restore(state: State, snapshot: Snapshot) -> None:
+    """Sets log and state machines to a snapshot."""
+    state.snapshot = snapshot
+    state.log = Log(snapshot.index, snapshot.term, snapshot.members)
+    state.commit = snapshot.index
+    state.applied = snapshot.index
+    state.machine.load(snapshot.data)
+    state.set_members()
+
+
+def take_reply(state: State, msg: AppendReply) -> None:
+    """Learns how far a member is."""
+    if msg.term > state.term:
+        election.become_follower(state, msg.term)
+        return
+    progress = state.progress.get(msg.source)
+    if state.role is not Role.LEADER or progress is None:
+        return
+    if msg.term < state.term:
+        return
+    progress.last_ack = state.now
+    progress.acked_round = max(progress.acked_round, msg.round)
+    if not msg.ok:
+        progress.next_index = max(
+            progress.match_index + 1,
+            min(progress.next_index - 1, msg.last_index + 1),
+        )
+        state.broadcast_due = True
+        return
+    progress.match_index = max(progress.match_index, msg.match_index)
+    progress.next_index = max(progress.next_index, msg.match_index + 1)
+    if progress.next_index <= state.log.last_index:
+        state.broadcast_due = True
+    commit_by_quorum(state)
+
+
+def commit_by_quorum(state: State) -> None:
+    """Commits what a majority of the voters has synced in this term."""
+    if state.role is not Role.LEADER:
+        return
+    matches = sorted(_voter_matches(state), reverse=True)
+    if not matches:
+        return
+    index = matches[len(matches) // 2]
+    if index > state.commit and state.log.term_at(index) == state.term:
+        advance(state, index)
+        state.broadcast_due = True
+
+
+def _voter_matches(state: State) -> Iterator[int]:
+    for voter in state.voters:
+        if voter == state.member_id:
+            yield min(state.disk.synced_index, state.log.last_index)
+        else:
+            yield state.progress[voter].match_index
+
+
+def advance(state: State, commit: int) -> None:
+    """Applies entries up to the new commit index."""
+    if commit <= state.commit:
+        return
+    state.commit = commit
+    while state.applied < state.commit:
+        entry = state.log.get(state.applied + 1)
+        _apply(state, entry)
+    _snapshot_when_due(state)
+
+
+def _apply(state: State, entry: LogEntry) -> None:
+    before = state.machine.documents.version
+    result = state.machine.apply(entry.command)
+    state.applied = entry.index
+    if state.machine.documents.version != before:
+        _announce_document(state)
+    if entry.index in state.pending:
+        state.results.append(Applied(entry, result))
+
+
+def _announce_document(state: State) -> None:
+    documents = state.machine.documents
+    if documents.version:
+        state.out.append(DocumentAccepted(documents.version, documents.text))
+
+
+def _snapshot_when_due(state: State) -> None:
+    """Keeps log, folder and restart time bounded."""
+    taken = state.snapshot.index if state.snapshot else 0
+    if state.applied - taken < SNAPSHOT_EVERY:
+        return
+    state.snapshot = Snapshot(
+        index=state.applied,
+        term=state.log.term_at(state.applied) or 0,
+        members=state.log.members_at(state.applied),
+        data=state.machine.save(),
+    )
+    state.disk.snapshot = state.snapshot
+    state.log.trim(state.applied - KEPT_BEHIND_SNAPSHOT)
--- /dev/null
+++ b/greengagemoor/document.py
@@ -0,0 +1,176 @@
+"""The operators' document: services, backend servers and request classes."""
+
+from __future__ import annotations
+
+import attrs
+
+from greengagemoor.errors import DocumentError, InvalidInputError
+from greengagemoor.registry import choosers, completions
+from greengagemoor.util import shape
+from greengagemoor.util.checks import (
+    at_most,
+    in_range,
+    is_name,
+    unique_by,
+)
+
+MAX_SERVICES = 5000
+MAX_BACKEND_SERVERS = 2000
+MAX_CLASSES = 64
+MAX_ENTRIES = 4096
+
+
+def _registered(registry):
+    def check(_, attribute, value):
+        if value not in registry:
+            raise ValueError(
+                f"{attribute.name}: {value!r} is not one of {registry.names()}"
+            )
+
+    return check
+
+
+def _name_of(item) -> str:
+    return item.name
+
+
+@attrs.frozen
+class RequestClass:
+    """Rules for one kind of request; times in seconds, shares of 1."""
+
+    name: str = attrs.field(validator=is_name)
+    repeatable: bool = True
+    priority: int = attrs.field(default=1, validator=in_range(0, 9))
+    default_deadline_s: float = attrs.field(
+        default=1.0, validator=in_range(0.001, 600)
+    )
+    max_deadline_s: float = attrs.field(
+        default=30.0, validator=in_range(0.001, 600)
+    )
+    least_coverage: float = attrs.field(default=1.0, validator=in_range(0, 1))
+    completion: str = attrs.field(
+        default="wait_for_all", validator=_registered(completions)
+    )
+    cut_after_s: float = attrs.field(default=0.0, validator=in_range(0.0, 600))
+    chooser: str = attrs.field(
+        default="least_cost", validator=_registered(choosers)
+    )
+    hedge_quantile: float = attrs.field(
+        default=0.95, validator=in_range(0.5, 1.0)
+    )
+    hedge_budget: float = attrs.field(default=0.05, validator=in_range(0, 1))
+    retry_budget: float = attrs.field(default=0.1, validator=in_range(0, 10))
+    max_attempts: int = attrs.field(default=4, validator=in_range(1, 100))
+    max_queue: int = attrs.field(default=200, validator=in_range(0, 100_000))
+    refuse_late: bool = True
+    share_answers: bool = False
+    join_equal: bool = True
+
+    def __attrs_post_init__(self):
+        if self.default_deadline_s > self.max_deadline_s:
+            raise ValueError("default_deadline_s: longer than max_deadline_s")
+        if not self.repeatable and self.share_answers:
+            raise ValueError(
+                "share_answers: a class that is not repeatable can't share"
+            )
+
+
+@attrs.frozen
+class AllowedServer:
+    """A backend server that may announce itself for a service."""
+
+    name: str = attrs.field(validator=is_name)
+    connection_cap: int = attrs.field(
+        default=25, validator=in_range(1, 100_000)
+    )
+    slots: int = attrs.field(default=2, validator=in_range(1, 10_000))
+
+
+@attrs.frozen
+class Service:
+    """A service, who may serve it, and how its requests are treated."""
+
+    name: str = attrs.field(validator=is_name)
+    backend_servers: tuple[AllowedServer, ...] = attrs.field(
+        validator=[unique_by(_name_of), at_most(MAX_BACKEND_SERVERS)]
+    )
+    request_classes: tuple[RequestClass, ...] = attrs.field(
+        validator=[unique_by(_name_of), at_most(MAX_CLASSES)]
+    )
+    entries_per_service: int = attrs.field(
+        default=2, validator=in_range(1, 1000)
+    )
+    adaptive_limit: bool = True
+
+    def __attrs_post_init__(self):
+        if not self.request_classes:
+            raise ValueError("request_classes: at least one is needed")
+
+    def request_class(self, name: str) -> RequestClass | None:
+        """Returns the class of that name, or None."""
+        return next((c for c in self.request_classes if c.name == name), None)
+
+
+@attrs.frozen
+class Document:
+    """One whole configuration; it replaces the one before it whole.
+
+    Attributes:
+        entries: names of the instances that may serve callers; connection
+            caps are divided over these names, so the list bounds the sum.
+        connection_places: parts into which each connection cap is divided;
+            one entry may hold one part, so spare places cost unused cap.
+    """
+
+    services: tuple[Service, ...] = attrs.field(
+        default=(), validator=[unique_by(_name_of), at_most(MAX_SERVICES)]
+    )
+    entries: tuple[str, ...] = attrs.field(
+        default=(), validator=[unique_by(str), at_most(MAX_ENTRIES)]
+    )
+    connection_places: int = attrs.field(
+        default=10, validator=in_range(1, MAX_ENTRIES)
+    )
+    silent_after_s: float = attrs.field(
+        default=3.0, validator=in_range(0.1, 600)
+    )
+    ledger_window_s: float = attrs.field(
+        default=3600.0, validator=in_range(1, 7 * 86400)
+    )
+
+    def __attrs_post_init__(self):
+        places = self.connection_places
+        if len(self.entries) > places:
+            raise ValueError(
+                f"entries: {len(self.entries)} names, {places} places"
+            )
+        starved = [
+            f"{service.name}/{server.name}"
+            for service in self.services
+            for server in service.backend_servers
+            if server.connection_cap < places
+        ]
+        if starved:
+            raise ValueError(
+                f"connection_cap: below {places} connection_places on "
+                f"{', '.join(starved[:5])}"
+            )
+
+    def service(self, name: str) -> Service | None:
+        """Returns the service of that name, or None; linear, for tools."""
+        return next((s for s in self.services if s.name == name), None)
+
+
+def parse_document(text: str | bytes) -> Document:
+    """Builds a document from JSON text.
+
+    Raises:
+        DocumentError: with every fault and its JSON path.
+    """
+    # The registries that names are checked against fill on import.
+    from greengagemoor.query import choosing, completion  # noqa: F401
+
+    try:
+        return shape.parse_json(text, Document)
+    except InvalidInputError as exc:
+        raise DocumentError(exc.faults) from exc
--- /dev/null
+++ b/greengagemoor/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions on soft state shared between many instances."""
--- /dev/null
+++ b/greengagemoor/membership/decider.py
@@ -0,0 +1,150 @@
+"""The membership decider: soft state shared by all processes of ours."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from greengagemoor.control.messages import (
+    Confirmed,
+    DocumentAccepted,
+    Received,
+)
+from greengagemoor.membership import (
+    addresses,
+    announcements,
+    documents,
+    gossip,
+    liveness,
+    view,
+    wards,
+)
+from greengagemoor.membership import messages as m
+from greengagemoor.membership.rows import InstanceState
+from greengagemoor.membership.state import State, Timing
+from greengagemoor.query.messages import DrainSeen
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+    from greengagemoor.membership.rows import InstanceRow
+
+
+class MembershipDecider:
+    """Announcements, liveness, addresses, shares and the document's spread.
+
+    Systems run in a fixed order each tick: receive, probe, suspect, watch,
+    freshness, own state, changes. A tick costs time in what changed; a round
+    costs one probe whatever the size of the fleet.
+    """
+
+    def __init__(
+        self,
+        me: InstanceRow,
+        seeds: dict[str, str],
+        rng: random.Random,
+        timing: Timing | None = None,
+    ):
+        """Starts knowing only itself.
+
+        Args:
+            me: the own row; its state is set by the decider.
+            seeds: peer addresses of other instances, by name.
+            rng: seeded source for the choice of peers.
+            timing: intervals, or None for the defaults.
+        """
+        others = {k: v for k, v in seeds.items() if k != me.name}
+        self.state = State(me, others, rng, timing or Timing())
+        self.state.take_row(me)
+
+    def step(self, now: float, msgs: Iterable[object]) -> list:
+        """Runs one tick over messages of this package."""
+        state = self.state
+        state.now = max(now, state.now)
+        state.out = []
+        for msg in msgs:
+            self._receive(msg)
+        if state.now >= state.round_at:
+            gossip.run_round(state)
+        liveness.check_probes(state)
+        liveness.check_suspects(state)
+        wards.check(state)
+        documents.check_freshness(state)
+        self._set_own_state()
+        view.note_changes(state)
+        return state.out
+
+    def next_wake(self) -> float:
+        """Returns when the next round or watch is due."""
+        state = self.state
+        timers = state.ward_timers
+        watch = timers[0][0] if timers else state.round_at
+        return min(state.round_at, watch)
+
+    def _receive(self, msg: object) -> None:
+        if isinstance(msg, Received):
+            handler = _PEER_HANDLERS.get(type(msg.payload))
+            if handler is not None:
+                handler(self.state, msg.sender, msg.payload)
+        else:
+            _LOCAL_HANDLERS[type(msg)](self.state, msg)
+
+    def _set_own_state(self) -> None:
+        state = self.state
+        wanted = state.own_state
+        if state.me.state not in (wanted, InstanceState.GONE):
+            state.set_me(state=wanted)
+
+
+def _leave(state: State, _: m.Leave) -> None:
+    """Leaves the addresses, and spreads it ahead of the next rounds."""
+    state.leaving = True
+    state.set_me(state=InstanceState.LEAVING)
+    _tell_several(state)
+
+
+def _stop(state: State, _: m.Stop) -> None:
+    state.set_me(state=InstanceState.GONE)
+    _tell_several(state)
+
+
+URGENT_PEERS = 4
+
+
+def _tell_several(state: State) -> None:
+    others = [n for n in state.table.live_instances if n != state.me.name]
+    count = min(URGENT_PEERS, len(others))
+    for name in state.rng.sample(others, count):
+        gossip.probe(state, name)
+
+
+def _set_overload(state: State, msg: m.Overload) -> None:
+    state.overloaded = msg.active
+
+
+_PEER_HANDLERS: dict[type, Callable[[State, str, object], None]] = {
+    m.Probe: gossip.take_probe,
+    m.Ack: gossip.take_ack,
+    m.ProbeFor: gossip.take_relay_request,
+    m.RelayedAck: gossip.take_relayed_ack,
+    m.Buckets: gossip.take_buckets,
+    m.BucketKeys: gossip.take_keys,
+    m.RowsWanted: gossip.take_wanted,
+    m.Rows: gossip.take_rows,
+    m.WantDocument: documents.take_wanted,
+    m.DocumentCopy: documents.take_copy,
+    m.HeardQuery: wards.take_query,
+    m.HeardReply: wards.take_reply,
+}
+
+_LOCAL_HANDLERS: dict[type, Callable[[State, object], None]] = {
+    m.Announce: announcements.take,
+    m.AskAddresses: addresses.take,
+    m.Leave: _leave,
+    m.Stop: _stop,
+    m.Overload: _set_overload,
+    m.CurrentRead: documents.take_read,
+    Confirmed: documents.take_confirmed,
+    DocumentAccepted: documents.take_accepted,
+    DrainSeen: announcements.take_drain,
+}
--- /dev/null
+++ b/greengagemoor/membership/documents.py
@@ -0,0 +1,122 @@
+"""Spreads the accepted document and how fresh it is."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+from greengagemoor.control.documents import SHARE_LEASE_S
+from greengagemoor.document import parse_document
+from greengagemoor.errors import DocumentError
+from greengagemoor.membership import view
+from greengagemoor.membership.messages import (
+    DocumentCopy,
+    Freshness,
+    WantDocument,
+)
+from greengagemoor.query.messages import ControlReady, DocumentChanged
+
+if TYPE_CHECKING:
+    from greengagemoor.control.messages import Confirmed, DocumentAccepted
+    from greengagemoor.membership.messages import CurrentRead
+    from greengagemoor.membership.state import State
+
+MAX_DOCUMENT_BYTES = 64_000_000
+
+
+def hear(state: State, sender: str, version: int, fresh: Freshness) -> None:
+    """Takes in how new a peer's document is, and asks for a newer one."""
+    _take_freshness(state, fresh)
+    asked_lately = state.now - state.asked_document_at < state.timing.interval
+    if version > state.document_version and not asked_lately:
+        state.asked_document_at = state.now
+        state.send(sender, WantDocument(state.document_version))
+
+
+def _take_freshness(state: State, fresh: Freshness) -> None:
+    if not fresh.group or fresh.group != (state.fresh.group or fresh.group):
+        # Another group's word: an instance that lost its disk and founded a
+        # group of its own must not make its empty history look current.
+        return
+    known = (state.fresh.term, state.fresh.round)
+    if (fresh.term, fresh.round) > known:
+        state.fresh = fresh
+        state.fresh_at = state.now
+
+
+def take_confirmed(state: State, msg: Confirmed) -> None:
+    """Takes in a confirmation from the control role of this process."""
+    term, round_ = msg.stamp
+    _take_freshness(state, Freshness(msg.group, term, round_, msg.version))
+
+
+def take_accepted(state: State, msg: DocumentAccepted) -> None:
+    """Takes in a document from the control group itself."""
+    put_in_force(state, msg.version, msg.text)
+
+
+def take_wanted(state: State, sender: str, msg: WantDocument) -> None:
+    """Sends the document to a peer that has an older one."""
+    if state.document is not None and (
+        msg.known_version < state.document_version
+    ):
+        copy = DocumentCopy(state.document_version, state.packed_document)
+        state.send(sender, copy)
+
+
+def take_copy(state: State, _: str, msg: DocumentCopy) -> None:
+    """Takes in a peer's document; only accepted ones are ever sent."""
+    if msg.version <= state.document_version:
+        return
+    try:
+        unpacker = zlib.decompressobj()
+        text = unpacker.decompress(msg.packed, MAX_DOCUMENT_BYTES).decode()
+    except (zlib.error, UnicodeDecodeError):
+        state.counters.refused += 1
+        return
+    put_in_force(state, msg.version, text)
+
+
+def put_in_force(state: State, version: int, text: str) -> None:
+    """Puts a document in force if it is newer; never goes back."""
+    if version <= state.document_version:
+        return
+    try:
+        document = parse_document(text)
+    except DocumentError:
+        state.counters.refused += 1
+        return
+    state.document = document
+    state.document_version = version
+    state.packed_document = zlib.compress(text.encode())
+    state.allowed = {
+        service.name: {s.name: s for s in service.backend_servers}
+        for service in document.services
+    }
+    state.out.append(DocumentChanged(version, document))
+    view.show_all(state)
+
+
+def take_read(state: State, msg: CurrentRead) -> None:
+    """Takes in what a quorum confirmed as current after this start."""
+    put_in_force(state, msg.version, msg.text)
+    state.read_version = max(state.read_version, msg.version)
+    state.read_at = state.now
+
+
+def check_freshness(state: State) -> None:
+    """Tells the query decider when control comes or goes.
+
+    Also gives up the connection shares after the share lease: only within it
+    does the control group count this process's names and places.
+    """
+    unheard = state.now - max(state.fresh_at, state.read_at)
+    may_hold = state.confirmed and unheard < SHARE_LEASE_S
+    if may_hold != state.may_hold_shares:
+        state.may_hold_shares = may_hold
+        view.show_all(state)
+    recent = state.now - state.fresh_at < state.timing.control_silent
+    ready = recent and state.confirmed
+    if ready != state.control_ready:
+        state.control_ready = ready
+        state.out.append(ControlReady(ready))
--- /dev/null
+++ b/greengagemoor/membership/messages.py
@@ -0,0 +1,242 @@
+"""Messages into and out of the membership decider."""
+
+from __future__ import annotations
+
+import attrs
+
+from greengagemoor.backends import BackendServer
+from greengagemoor.codes import Code
+from greengagemoor.membership.rows import InstanceRow, ServerRow
+
+# Between processes of ours (wire/peers.proto).
+
+
+@attrs.frozen
+class Freshness:
+    """The newest confirmation by the control group that a process knows.
+
+    Attributes:
+        group: the control group that confirmed.
+        term: the leader's term.
+        round: the leader's heartbeat round; (term, round) only grows.
+        version: the document version that was current then.
+    """
+
+    group: str = ""
+    term: int = 0
+    round: int = 0
+    version: int = 0
+
+
+@attrs.frozen
+class Rows:
+    """Rows that the receiver may lack."""
+
+    instances: tuple[InstanceRow, ...] = ()
+    servers: tuple[ServerRow, ...] = ()
+
+
+@attrs.frozen
+class Probe:
+    """One anti-entropy exchange, which is also a liveness probe.
+
+    Attributes:
+        number: echoed in the ``Ack``.
+        root: digest over all live rows.
+        document_version: what the sender has in force.
+        relay_for: instance that asked for this probe, or ''.
+        relay_number: that instance's probe number.
+    """
+
+    number: int
+    root: int
+    document_version: int
+    fresh: Freshness
+    rows: Rows
+    relay_for: str = ""
+    relay_number: int = 0
+
+
+@attrs.frozen
+class Ack:
+    """Answers a ``Probe``, with the answerer's news."""
+
+    number: int
+    root: int
+    document_version: int
+    fresh: Freshness
+    rows: Rows
+    relay_for: str = ""
+    relay_number: int = 0
+
+
+@attrs.frozen
+class ProbeFor:
+    """Asks another instance to probe one that did not answer."""
+
+    target: str
+    number: int
+
+
+@attrs.frozen
+class RelayedAck:
+    """Tells that the target of a ``ProbeFor`` answered."""
+
+    number: int
+
+
+@attrs.frozen
+class Buckets:
+    """Digests of all buckets, four bytes each."""
+
+    digests: bytes
+
+
+@attrs.frozen
+class RowKey:
+    """A row's key and order, without its content."""
+
+    key: str
+    incarnation: int
+    sequence: int
+    rank: int
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Comparable with ``Row.order``."""
+        return (self.incarnation, self.sequence, self.rank)
+
+
+@attrs.frozen
+class BucketKeys:
+    """The keys of the sender's rows in some buckets."""
+
+    buckets: tuple[int, ...]
+    keys: tuple[RowKey, ...]
+
+
+@attrs.frozen
+class RowsWanted:
+    """Asks for rows by key."""
+
+    keys: tuple[str, ...]
+
+
+@attrs.frozen
+class WantDocument:
+    """Asks for the document if the receiver has a newer one."""
+
+    known_version: int
+
+
+@attrs.frozen
+class DocumentCopy:
+    """An accepted document; ``packed`` is zlib-compressed JSON."""
+
+    version: int
+    packed: bytes
+
+
+@attrs.frozen
+class HeardQuery:
+    """Asks another instance whether it still hears a backend server."""
+
+    key: str
+
+
+@attrs.frozen
+class HeardReply:
+    """Answers a ``HeardQuery``."""
+
+    key: str
+    heard: bool
+
+
+# From callers, backend servers and operators, through the shell.
+
+
+@attrs.frozen
+class Announce:
+    """A backend server's announcement, checked for form.
+
+    Attributes:
+        renewal: grows with each sending, so that a copy of an old one does
+            not count as a sign of life.
+    """
+
+    token: int
+    server: BackendServer
+    renewal: int
+
+
+@attrs.frozen
+class AnnounceReply:
+    """What became of an announcement.
+
+    Attributes:
+        incarnation: with ``sequence``, the newest order known; a server that
+            was refused as stale announces a higher one.
+    """
+
+    token: int
+    code: Code
+    incarnation: int = 0
+    sequence: int = 0
+    detail: str = ""
+
+
+@attrs.frozen
+class AskAddresses:
+    """Which entries should a caller of this service use?"""
+
+    token: int
+    service: str
+    data_centre: str = ""
+
+
+@attrs.frozen
+class AddressRow:
+    """An entry that callers may use."""
+
+    instance: str
+    http_address: str
+    data_centre: str
+
+
+@attrs.frozen
+class Addresses:
+    """Entries in order of preference, and how long to keep them."""
+
+    token: int
+    service: str
+    addresses: tuple[AddressRow, ...]
+    valid_for_s: float
+
+
+@attrs.frozen
+class Leave:
+    """This process shuts down: leave the addresses."""
+
+
+@attrs.frozen
+class Stop:
+    """This process ends now: say that it is gone."""
+
+
+@attrs.frozen
+class Overload:
+    """This entry refuses requests for load, or no longer does."""
+
+    active: bool
+
+
+@attrs.frozen
+class CurrentRead:
+    """A quorum confirmed this document as current.
+
+    Attributes:
+        text: empty when this process has that version.
+    """
+
+    version: int
+    text: str
--- /dev/null
+++ b/greengagemoor/membership/rows.py
@@ -0,0 +1,118 @@
+"""Rows of the soft state that all instances share."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from functools import lru_cache
+
+import attrs
+
+from greengagemoor.backends import BackendServer, ServerState
+
+
+class InstanceState(enum.Enum):
+    """Life of an instance of ours, as others see it."""
+
+    STARTING = "starting"
+    READY = "ready"
+    OVERLOADED = "overloaded"
+    LEAVING = "leaving"
+    SUSPECT = "suspect"
+    GONE = "gone"
+
+
+_INSTANCE_RANK = {state: rank for rank, state in enumerate(InstanceState)}
+_SERVER_RANK = {state: rank for rank, state in enumerate(ServerState)}
+
+
+@attrs.frozen
+class InstanceRow:
+    """One process of ours.
+
+    Attributes:
+        incarnation: raised at each start.
+        sequence: raised by the instance itself at each change of its row.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    state: InstanceState
+    peer_address: str
+    http_address: str
+    data_centre: str
+    region: str
+    roles: tuple[str, ...]
+
+    @property
+    def key(self) -> str:
+        """Key in the table."""
+        return f"i:{self.name}"
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Later words about the same instance compare greater.
+
+        At an equal sequence, suspicion wins over life and an end over both:
+        only the instance itself can refute it, with a higher sequence.
+        """
+        return (
+            self.incarnation,
+            self.sequence,
+            _INSTANCE_RANK[self.state],
+        )
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the row is only kept so that the instance stays gone."""
+        return self.state is InstanceState.GONE
+
+
+@attrs.frozen
+class ServerRow:
+    """One backend server."""
+
+    server: BackendServer
+
+    @property
+    def key(self) -> str:
+        """Key in the table."""
+        return server_key(self.server.service, self.server.name)
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Later words about the same server compare greater.
+
+        At an equal sequence, draining wins over ready and gone over both, so
+        that a doubled or late announcement can't bring a server back.
+        """
+        return (*self.server.order, _SERVER_RANK[self.server.state])
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the row is only kept so that the server stays gone."""
+        return self.server.state is ServerState.GONE
+
+
+Row = InstanceRow | ServerRow
+
+
+def server_key(service: str, name: str) -> str:
+    """Returns the table key of a backend server."""
+    return f"b:{service}/{name}"
+
+
+def hash64(text: str) -> int:
+    """Returns 64 bits that are equal in every process for equal text."""
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
+
+
+@lru_cache(maxsize=65536)
+def rendezvous_weight(key: str, candidate: str) -> int:
+    """Returns the weight of a candidate for a key; the highest wins.
+
+    When a candidate comes or goes, only the keys it wins change hands.
+    """
+    return hash64(f"{key}\0{candidate}")
--- /dev/null
+++ b/greengagemoor/membership/state.py
@@ -0,0 +1,143 @@
+"""State of the membership decider that its systems share."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from greengagemoor.control.messages import Send
+from greengagemoor.membership.messages import Freshness
+from greengagemoor.membership.rows import InstanceRow, InstanceState
+from greengagemoor.membership.table import Table
+
+if TYPE_CHECKING:
+    from greengagemoor.backends import BackendServer
+    from greengagemoor.document import AllowedServer, Document
+    from greengagemoor.membership.rows import Row
+
+
+@attrs.frozen
+class Timing:
+    """Intervals in seconds; the first one scales the detection of loss."""
+
+    interval: float = 0.5
+    addresses_valid: float = 5.0
+    control_silent: float = 5.0
+    tombstone: float = 10_800.0
+
+
+@attrs.define
+class Probing:
+    """A probe that has not been answered."""
+
+    target: str
+    sent_at: float
+    relayed: bool = False
+
+
+@attrs.define
+class Ward:
+    """A backend server whose silence this process watches for."""
+
+    heard_at: float
+    renewal: int = -1
+    asked_at: float | None = None
+
+
+@attrs.define
+class Counters:
+    """Totals for metrics and slopes."""
+
+    rounds: int = 0
+    compared: int = 0
+    rows_taken: int = 0
+    refused: int = 0
+    silent: int = 0
+
+
+@attrs.define(eq=False)
+class State:
+    """Tables, clock, randomness and output of one tick."""
+
+    me: InstanceRow
+    seeds: dict[str, str]
+    rng: random.Random
+    timing: Timing = attrs.field(factory=Timing)
+    table: Table = attrs.field(factory=Table)
+    now: float = 0.0
+    out: list = attrs.field(factory=list)
+    counters: Counters = attrs.field(factory=Counters)
+    # Anti-entropy.
+    hot: dict[str, int] = attrs.field(factory=dict)
+    changed: list[Row] = attrs.field(factory=list)
+    round_at: float = 0.0
+    probes: dict[int, Probing] = attrs.field(factory=dict)
+    next_probe: int = 1
+    targets: list[str] = attrs.field(factory=list)
+    differing_rounds: int = 0
+    # Liveness.
+    suspects: dict[str, float] = attrs.field(factory=dict)
+    wards: dict[str, Ward] = attrs.field(factory=dict)
+    ward_timers: list[tuple[float, str]] = attrs.field(factory=list)
+    # Document.
+    document: Document | None = None
+    document_version: int = 0
+    packed_document: bytes = b""
+    read_version: int = -1
+    read_at: float = float("-inf")
+    may_hold_shares: bool = False
+    allowed: dict[str, dict[str, AllowedServer]] = attrs.field(factory=dict)
+    fresh: Freshness = attrs.field(factory=Freshness)
+    fresh_at: float = float("-inf")
+    control_ready: bool = False
+    asked_document_at: float = float("-inf")
+    shown: dict[str, tuple[BackendServer, int]] = attrs.field(factory=dict)
+    leaving: bool = False
+    overloaded: bool = False
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether this process has caught up with a quorum since its start."""
+        return 0 <= self.read_version <= self.document_version
+
+    def send(self, name: str, payload: object) -> None:
+        """Sends to another process of ours."""
+        row = self.table.rows.get(f"i:{name}")
+        address = row.peer_address if isinstance(row, InstanceRow) else ""
+        self.out.append(
+            Send(name, payload, address or self.seeds.get(name, ""))
+        )
+
+    def take_row(self, row: Row) -> Row | None:
+        """Merges a row; a change is passed on in the next exchanges."""
+        kept = self.table.merge(row, self.now)
+        if kept is not None:
+            self.counters.rows_taken += 1
+            self.hot[kept.key] = 0
+            self.changed.append(kept)
+        return kept
+
+    def set_me(self, **changes) -> None:
+        """Changes the own row and spreads it."""
+        self.me = attrs.evolve(
+            self.me, sequence=self.me.sequence + 1, **changes
+        )
+        self.take_row(self.me)
+
+    @property
+    def own_state(self) -> InstanceState:
+        """What this process should say of itself now."""
+        if self.leaving:
+            return InstanceState.LEAVING
+        if not self.confirmed or not self._is_listed():
+            return InstanceState.STARTING
+        if self.overloaded:
+            return InstanceState.OVERLOADED
+        return InstanceState.READY
+
+    def _is_listed(self) -> bool:
+        is_entry = "entry" in self.me.roles
+        listed = self.document and self.me.name in self.document.entries
+        return bool(listed) or not is_entry
--- /dev/null
+++ b/greengagemoor/membership/table.py
@@ -0,0 +1,155 @@
+"""The table of rows, with digests that are kept up as rows change."""
+
+from __future__ import annotations
+
+import struct
+from functools import lru_cache
+from typing import TYPE_CHECKING
+
+import attrs
+
+from greengagemoor.backends import ServerState
+from greengagemoor.membership.rows import (
+    InstanceRow,
+    ServerRow,
+    hash64,
+)
+from greengagemoor.util import shape
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from greengagemoor.membership.rows import Row
+
+BUCKETS = 256
+_DIGEST_BITS = 0xFFFFFFFF
+
+
+class Table:
+    """All rows of instances and backend servers.
+
+    Digests cover live rows only: gone rows stay to refuse older words, and
+    each process forgets them at its own time without seeming to differ.
+    """
+
+    def __init__(self):
+        self.rows: dict[str, Row] = {}
+        self.buckets: list[dict[str, Row]] = [{} for _ in range(BUCKETS)]
+        self.gone_since: dict[str, float] = {}
+        self.live_instances: dict[str, InstanceRow] = {}
+        self.guarded: dict[str, set[str]] = {}
+        self.by_service: dict[str, dict[str, ServerRow]] = {}
+        self._digests = [0] * BUCKETS
+        self.root = 0
+
+    def merge(self, row: Row, now: float) -> Row | None:
+        """Takes in a row if it is newer; returns what is kept, or None."""
+        kept = self.rows.get(row.key)
+        if kept is None and row.is_gone:
+            return None
+        if kept is not None:
+            row = _keep_drained(kept, row)
+            if not _is_newer(row, kept):
+                return None
+            self._unlink(kept)
+        self._link(row, now)
+        return row
+
+    def _link(self, row: Row, now: float) -> None:
+        self.rows[row.key] = row
+        if row.is_gone:
+            self.gone_since[row.key] = now
+        else:
+            self.gone_since.pop(row.key, None)
+            self._flip(row)
+            self.buckets[bucket_of(row.key)][row.key] = row
+            self._index(row)
+
+    def _index(self, row: Row) -> None:
+        if isinstance(row, InstanceRow):
+            self.live_instances[row.name] = row
+            return
+        self.by_service.setdefault(row.server.service, {})[row.key] = row
+        for guardian in row.server.announced_to:
+            self.guarded.setdefault(guardian, set()).add(row.key)
+
+    def _unlink(self, row: Row) -> None:
+        if row.is_gone:
+            return
+        self._flip(row)
+        del self.buckets[bucket_of(row.key)][row.key]
+        if isinstance(row, InstanceRow):
+            del self.live_instances[row.name]
+            return
+        del self.by_service[row.server.service][row.key]
+        for guardian in row.server.announced_to:
+            self.guarded[guardian].discard(row.key)
+
+    def _flip(self, row: Row) -> None:
+        digest = hash64(f"{row.key}{row.order}")
+        index = bucket_of(row.key)
+        self._digests[index] ^= digest & _DIGEST_BITS
+        self.root ^= digest
+
+    def forget_gone(self, before: float) -> None:
+        """Forgets rows that have been gone since before a time."""
+        old = [k for k, since in self.gone_since.items() if since < before]
+        for key in old:
+            del self.gone_since[key]
+            del self.rows[key]
+
+    def pack_digests(self) -> bytes:
+        """Returns the digests of all buckets, four bytes each."""
+        return struct.pack(f">{BUCKETS}I", *self._digests)
+
+    def differing(self, packed: bytes) -> list[int]:
+        """Returns the buckets whose digests differ from a packed list."""
+        if len(packed) != 4 * BUCKETS:
+            return []
+        other = struct.unpack(f">{BUCKETS}I", packed)
+        return [
+            index
+            for index, (mine, theirs) in enumerate(
+                zip(self._digests, other, strict=True)
+            )
+            if mine != theirs
+        ]
+
+    def servers_of(self, service: str) -> Iterator[ServerRow]:
+        """Yields the live rows of one service."""
+        yield from self.by_service.get(service, {}).values()
+
+
+@lru_cache(maxsize=65536)
+def bucket_of(key: str) -> int:
+    """Returns the bucket that a key falls in."""
+    return hash64(key) % BUCKETS
+
+
+def _is_newer(row: Row, kept: Row) -> bool:
+    if row.order != kept.order:
+        return row.order > kept.order
+    # Two contents at one order come from a fault at the source; every process
+    # must keep the same one, or their tables never get equal.
+    return row != kept and _content(row) > _content(kept)
+
+
+def _content(row: Row) -> int:
+    return hash64(shape.dump_json(row))
+
+
+def _keep_drained(kept: Row, row: Row) -> Row:
+    """Keeps a draining server draining within its incarnation.
+
+    A ready word may overtake the draining one, or be made by a part of the
+    server that has not heard of it; new work would then reach it again.
+    """
+    if not isinstance(kept, ServerRow):
+        return row
+    drained = kept.server.state is ServerState.DRAINING
+    same = kept.server.incarnation == row.server.incarnation
+    opens = row.server.state in (ServerState.READY, ServerState.WARMING)
+    if drained and same and opens:
+        server = attrs.evolve(row.server, state=ServerState.DRAINING)
+        return ServerRow(server)
+    return row
--- /dev/null
+++ b/greengagemoor/membership/view.py
@@ -0,0 +1,101 @@
+"""What changes for this process when a row or the document changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from greengagemoor.membership import liveness, wards
+from greengagemoor.membership.rows import (
+    InstanceRow,
+    InstanceState,
+    ServerRow,
+    server_key,
+)
+from greengagemoor.query.messages import ServerChanged, ServerGone
+
+if TYPE_CHECKING:
+    from greengagemoor.backends import BackendServer
+    from greengagemoor.membership.rows import Row
+    from greengagemoor.membership.state import State
+
+
+def note_changes(state: State) -> None:
+    """Passes the rows that changed in this tick on to whoever acts on them."""
+    while state.changed:
+        _note_change(state, state.changed.pop(0))
+
+
+def _note_change(state: State, row: Row) -> None:
+    if isinstance(row, ServerRow):
+        wards.note_row(state, row)
+        show(state, row)
+        return
+    if row.state is InstanceState.SUSPECT:
+        liveness.watch_suspect(state, row)
+    elif row.state is InstanceState.GONE:
+        wards.adopt_orphans(state, row.name)
+
+
+def show(state: State, row: ServerRow) -> None:
+    """Tells the query decider of a server, as the document allows it."""
+    allowed = _allowed_form(state, row)
+    shown = state.shown.get(row.key)
+    if allowed == shown:
+        return
+    if allowed is None:
+        del state.shown[row.key]
+        state.out.append(ServerGone(row.server.name, row.server.service))
+        return
+    state.shown[row.key] = allowed
+    server, share = allowed
+    state.out.append(ServerChanged(server, share))
+
+
+def _allowed_form(
+    state: State, row: ServerRow
+) -> tuple[BackendServer, int] | None:
+    """Returns the server within the document's limits, and the own share."""
+    allowed = state.allowed.get(row.server.service, {}).get(row.server.name)
+    if allowed is None or row.is_gone:
+        return None
+    server = attrs.evolve(
+        row.server,
+        slots=min(row.server.slots, allowed.slots),
+        connection_cap=min(row.server.connection_cap, allowed.connection_cap),
+    )
+    return server, connection_share(state, server)
+
+
+def connection_share(state: State, server: BackendServer) -> int:
+    """Returns how many connections this entry may hold to a server.
+
+    A fixed part of the cap for each place in the document: no views of who
+    is alive enter into it, so no disagreement between them can make the sum
+    pass the cap. What gives way is the part of the places that stand empty.
+    """
+    listed = state.document and state.me.name in state.document.entries
+    if not listed or not state.may_hold_shares:
+        return 0
+    return server.connection_cap // state.document.connection_places
+
+
+def show_all(state: State) -> None:
+    """Looks at every server again, after a change of the document."""
+    rows = [
+        row for row in state.table.rows.values() if isinstance(row, ServerRow)
+    ]
+    for row in rows:
+        show(state, row)
+
+
+def row_of(state: State, service: str, name: str) -> ServerRow | None:
+    """Returns a server's row, live or gone, or None."""
+    row = state.table.rows.get(server_key(service, name))
+    return row if isinstance(row, ServerRow) else None
+
+
+def is_entry_ready(row: InstanceRow) -> bool:
+    """Whether callers may be sent to this instance without reserve."""
+    return row.state is InstanceState.READY and "entry" in row.roles
--- /dev/null
+++ b/greengagemoor/metrics.py
@@ -0,0 +1,158 @@
+"""Histograms for each caller and request class, bounded in number."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from greengagemoor.query.messages import Reply
+
+MAX_SERIES = 200
+MAX_CODES = 100
+OTHERS = "others"
+LONGEST_US = 3_600_000_000
+DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+MOST_ATTEMPTS = 100_000
+MICROSECONDS = 1_000_000
+
+
+@attrs.frozen
+class SeriesKey:
+    """What a series counts: one caller's requests of one class."""
+
+    caller: str
+    request_class: str
+
+
+@attrs.frozen
+class QuantileRow:
+    """Quantiles of one measure of one series.
+
+    Attributes:
+        measure: latency_us, coverage_percent or attempts.
+        values: by the quantiles of ``QUANTILES``.
+    """
+
+    caller: str
+    request_class: str
+    measure: str
+    count: int
+    values: tuple[float, ...]
+
+
+@attrs.define
+class _Series:
+    latency: HdrHistogram = attrs.field(
+        factory=lambda: HdrHistogram(1, LONGEST_US, DIGITS)
+    )
+    coverage: HdrHistogram = attrs.field(
+        factory=lambda: HdrHistogram(1, 100, DIGITS)
+    )
+    attempts: HdrHistogram = attrs.field(
+        factory=lambda: HdrHistogram(1, MOST_ATTEMPTS, DIGITS)
+    )
+
+
+class Metrics:
+    """Counts answers; callers beyond the bound share one series.
+
+    A caller may choose its name, so without the bound a faulty one that makes
+    names up would fill the memory of every entry.
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._series: dict[SeriesKey, _Series] = {}
+        self._codes: Counter[tuple[str, int]] = Counter()
+        self._totals: Counter[str] = Counter()
+
+    def note_reply(self, reply: Reply) -> None:
+        """Counts one answer."""
+        with self._lock:
+            key = self._key(SeriesKey(reply.caller, reply.request_class))
+            series = self._series.setdefault(key, _Series())
+            answer = reply.answer
+            latency = max(1, int(reply.elapsed_s * MICROSECONDS))
+            series.latency.record_value(min(latency, LONGEST_US))
+            if answer.coverage.shards:
+                share = len(answer.coverage.reflected) / answer.coverage.shards
+                series.coverage.record_value(int(100 * share))
+            series.attempts.record_value(min(answer.attempts, MOST_ATTEMPTS))
+            self._codes[(key.request_class, int(answer.code))] += 1
+
+    def _key(self, key: SeriesKey) -> SeriesKey:
+        if key in self._series or len(self._series) < MAX_SERIES:
+            return key
+        return SeriesKey(OTHERS, OTHERS)
+
+    def count(self, name: str, number: int = 1) -> None:
+        """Adds to a total."""
+        with self._lock:
+            self._totals[name] += number
+
+    def rows(self) -> list[QuantileRow]:
+        """Returns the quantiles of every series."""
+        with self._lock:
+            return [
+                row
+                for key, series in sorted(
+                    self._series.items(), key=lambda item: str(item[0])
+                )
+                for row in _rows_of(key, series)
+            ]
+
+    def text(self, extra: dict[str, float]) -> str:
+        """Returns all metrics in the Prometheus text form.
+
+        Args:
+            extra: more gauges by name.
+        """
+        lines = [
+            f'greengagemoor_{row.measure}{{caller="{_escape(row.caller)}",'
+            f'request_class="{_escape(row.request_class)}",'
+            f'quantile="{quantile / 100:g}"}} {value:g}'
+            for row in self.rows()
+            for quantile, value in zip(QUANTILES, row.values, strict=True)
+        ]
+        with self._lock:
+            lines += [
+                f'greengagemoor_answers_total{{request_class="{_escape(name)}"'
+                f',code="{code}"}} {number}'
+                for (name, code), number in sorted(self._codes.items())
+            ]
+            totals = {**self._totals, **extra}
+        lines += [
+            f"greengagemoor_{name} {value:g}"
+            for name, value in sorted(totals.items())
+        ]
+        return "\n".join(lines) + "\n"
+
+
+def _rows_of(key: SeriesKey, series: _Series) -> Iterator[QuantileRow]:
+    measures = {
+        "latency_us": series.latency,
+        "coverage_percent": series.coverage,
+        "attempts": series.attempts,
+    }
+    for measure, histogram in measures.items():
+        yield QuantileRow(
+            caller=key.caller,
+            request_class=key.request_class,
+            measure=measure,
+            count=histogram.get_total_count(),
+            values=tuple(
+                float(histogram.get_value_at_percentile(q)) for q in QUANTILES
+            ),
+        )
+
+
+def _escape(text: str) -> str:
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- /dev/null
+++ b/greengagemoor/node.py
@@ -0,0 +1,349 @@
+"""All deciders of one process as one decider; the part to embed or drive."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from greengagemoor.codes import Code
+from greengagemoor.control import messages as control
+from greengagemoor.control.client import Ask, ControlClient, Done
+from greengagemoor.control.decider import ControlDecider
+from greengagemoor.control.messages import OpKind, Received, Send
+from greengagemoor.membership import messages as membership
+from greengagemoor.membership.decider import MembershipDecider
+from greengagemoor.membership.rows import InstanceRow
+from greengagemoor.query import messages as query
+from greengagemoor.query.decider import QueryDecider
+from greengagemoor.query.messages import ClaimVerdict
+from greengagemoor.util.request_ids import issue_time
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+CLAIM_WAIT_S = 1.5
+CLAIM_VALID_S = 10.0
+OUTCOME_WAIT_S = 60.0
+READ_WAIT_S = 2.0
+READ_AGAIN_S = 0.25
+CONTROL_ROLE = "control"
+
+
+@attrs.frozen
+class StartUp:
+    """The first message of a node; its control role starts with Recovered."""
+
+
+@attrs.frozen
+class CloseEntry:
+    """Refuse new requests from now on; finish what runs."""
+
+
+@attrs.frozen
+class _ClaimToken:
+    token: int
+    caller: str
+    request_id: str
+    send_before: float
+
+
+@attrs.frozen
+class _ReadToken:
+    pass
+
+
+@attrs.frozen
+class _OutcomeToken:
+    pass
+
+
+class Node:
+    """Routes messages between the deciders of one process.
+
+    ``step`` takes what came from sockets, disk and clock, and returns what
+    the shell must do: replies, attempts, sends and writes.
+    """
+
+    def __init__(
+        self,
+        membership_decider: MembershipDecider,
+        rng: random.Random,
+        *,
+        query_decider: QueryDecider | None = None,
+        control_decider: ControlDecider | None = None,
+        control_targets: Iterable[str] = (),
+    ):
+        self.membership = membership_decider
+        self.query = query_decider
+        self.control = control_decider
+        self.client = ControlClient(control_targets, rng)
+        self._first_targets = set(control_targets)
+        self._claims: dict[int, str] = {}
+        self._out: list = []
+        self._now = 0.0
+        self._read_at: float | None = None
+
+    @property
+    def instance(self) -> str:
+        """Name of this instance."""
+        return self.membership.state.me.name
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request runs and no outcome waits to be recorded."""
+        running = self.query is not None and not self.query.is_idle
+        return not running and self.client.is_idle
+
+    def step(self, now: float, msgs: Iterable[object]) -> list:
+        """Runs one tick of every decider that has something to do."""
+        self._now = max(now, self._now)
+        self._out = []
+        self._find_control()
+        inboxes = _Inboxes()
+        for msg in msgs:
+            self._route_in(msg, inboxes)
+        self._read_when_due(inboxes)
+        self._run(inboxes, everyone=True)
+        while inboxes.any_left():
+            self._run(inboxes, everyone=False)
+        return self._out
+
+    def _run(self, inboxes: _Inboxes, *, everyone: bool) -> None:
+        """Runs deciders with messages; all of them once, for their timers."""
+        deciders = (
+            (self.membership, inboxes.membership),
+            (self.control, inboxes.control),
+            (self.client, inboxes.client),
+            (self.query, inboxes.query),
+        )
+        for decider, inbox in deciders:
+            if decider is None:
+                inbox.clear()
+            elif inbox or everyone:
+                msgs = list(inbox)
+                inbox.clear()
+                for msg in decider.step(self._now, msgs):
+                    self._route_out(msg, inboxes)
+
+    def next_wake(self) -> float:
+        """Returns when a tick is due although no message came."""
+        deciders = (self.membership, self.control, self.client, self.query)
+        wakes = [d.next_wake() for d in deciders if d is not None]
+        wakes.append(self._read_at)
+        return min(wake for wake in wakes if wake is not None)
+
+    def _find_control(self) -> None:
+        rows = self.membership.state.table.live_instances.values()
+        found = {row.name for row in rows if CONTROL_ROLE in row.roles}
+        self.client.targets = sorted(found | self._first_targets)
+
+    def _read_when_due(self, inboxes: _Inboxes) -> None:
+        """Reads from a quorum after a start, before callers are served.
+
+        A process that restarts beside a stale control instance would else
+        serve under a document that was replaced long ago.
+        """
+        if self._read_at is None or self._now < self._read_at:
+            return
+        self._read_at = None
+        ask = Ask(
+            token=_ReadToken(),
+            kind=OpKind.READ,
+            deadline=self._now + READ_WAIT_S,
+            known_version=self.membership.state.document_version,
+        )
+        inboxes.client.append(ask)
+
+    def _route_in(self, msg: object, inboxes: _Inboxes) -> None:
+        if isinstance(msg, Received):
+            inboxes.for_payload(msg.payload).append(msg)
+        elif isinstance(msg, StartUp):
+            self._read_at = self._now
+        elif isinstance(msg, CloseEntry):
+            if self.query is not None:
+                self.query.close()
+        elif isinstance(msg, Ask):
+            inboxes.client.append(msg)
+        elif isinstance(msg, _QUERY_INPUTS):
+            inboxes.query.append(msg)
+        elif isinstance(msg, _CONTROL_INPUTS):
+            inboxes.control.append(msg)
+        else:
+            inboxes.membership.append(msg)
+
+    def _route_out(self, msg: object, inboxes: _Inboxes) -> None:
+        if isinstance(msg, Send):
+            self._route_send(msg, inboxes)
+        elif isinstance(msg, _TO_QUERY):
+            inboxes.query.append(msg)
+            self._out.append(msg)
+        elif isinstance(msg, _TO_MEMBERSHIP):
+            inboxes.membership.append(msg)
+        elif isinstance(msg, query.ClaimWanted):
+            inboxes.client.append(self._ask_claim(msg))
+        elif isinstance(msg, query.OutcomeKnown):
+            ask = self._ask_outcome(msg)
+            if ask is not None:
+                inboxes.client.append(ask)
+        elif isinstance(msg, Done):
+            self._route_done(msg, inboxes)
+        else:
+            self._out.append(msg)
+
+    def _route_send(self, msg: Send, inboxes: _Inboxes) -> None:
+        if msg.to == self.instance:
+            received = Received(self.instance, msg.payload)
+            inboxes.for_payload(msg.payload).append(received)
+            return
+        if not msg.address:
+            msg = attrs.evolve(msg, address=self._address_of(msg.to))
+        if msg.address:
+            self._out.append(msg)
+
+    def _address_of(self, name: str) -> str:
+        state = self.membership.state
+        row = state.table.rows.get(f"i:{name}")
+        if isinstance(row, InstanceRow):
+            return row.peer_address
+        return state.seeds.get(name, "")
+
+    def _ask_claim(self, msg: query.ClaimWanted) -> Ask:
+        me = self.membership.state.me
+        claim_id = f"{me.name}/{me.incarnation}/{msg.token}"
+        self._claims[msg.token] = claim_id
+        command = control.Claim(
+            caller=msg.caller,
+            request_id=msg.request_id,
+            claim_id=claim_id,
+            issued_at=issue_time(msg.request_id) or 0.0,
+            valid_for_s=CLAIM_VALID_S,
+            time=self._now,
+        )
+        token = _ClaimToken(
+            token=msg.token,
+            caller=msg.caller,
+            request_id=msg.request_id,
+            send_before=self._now + CLAIM_VALID_S,
+        )
+        return Ask(token, OpKind.CLAIM, self._now + CLAIM_WAIT_S, command)
+
+    def _ask_outcome(self, msg: query.OutcomeKnown) -> Ask | None:
+        claim_id = self._claims.pop(msg.token, None)
+        if claim_id is None:
+            return None
+        command = control.RecordOutcome(
+            caller=msg.caller,
+            request_id=msg.request_id,
+            claim_id=claim_id,
+            code=int(msg.code),
+            outcome=msg.outcome,
+            time=self._now,
+        )
+        deadline = self._now + OUTCOME_WAIT_S
+        return Ask(_OutcomeToken(), OpKind.OUTCOME, deadline, command)
+
+    def _route_done(self, msg: Done, inboxes: _Inboxes) -> None:
+        if isinstance(msg.token, _ReadToken):
+            self._take_read(msg, inboxes)
+        elif isinstance(msg.token, _ClaimToken):
+            inboxes.query.append(self._claim_decided(msg))
+            if msg.reply.verdict != ClaimVerdict.GRANTED.value:
+                self._drop_claim(msg, inboxes)
+        elif not isinstance(msg.token, _OutcomeToken):
+            self._out.append(msg)
+
+    def _take_read(self, msg: Done, inboxes: _Inboxes) -> None:
+        if msg.reply.code != Code.CURRENT:
+            self._read_at = self._now + READ_AGAIN_S
+            return
+        read = membership.CurrentRead(msg.reply.version, msg.reply.text)
+        inboxes.membership.append(read)
+
+    def _drop_claim(self, msg: Done, inboxes: _Inboxes) -> None:
+        """Takes a claim back that may still be granted after we gave it up."""
+        token: _ClaimToken = msg.token
+        if not msg.maybe:
+            self._claims.pop(token.token, None)
+            return
+        released = query.OutcomeKnown(
+            token=token.token,
+            caller=token.caller,
+            request_id=token.request_id,
+            code=Code.NOT_RUN_NO_CONTROL,
+            outcome="",
+        )
+        inboxes.client.append(self._ask_outcome(released))
+
+    def _claim_decided(self, msg: Done) -> query.ClaimDecided:
+        token: _ClaimToken = msg.token
+        granted = msg.reply.code == Code.ACCEPTED
+        verdict = (
+            ClaimVerdict(msg.reply.verdict)
+            if granted
+            else ClaimVerdict.UNAVAILABLE
+        )
+        return query.ClaimDecided(
+            token=token.token,
+            caller=token.caller,
+            request_id=token.request_id,
+            verdict=verdict,
+            send_before=token.send_before,
+            outcome=msg.reply.text,
+        )
+
+
+@attrs.define
+class _Inboxes:
+    membership: deque = attrs.field(factory=deque)
+    control: deque = attrs.field(factory=deque)
+    client: deque = attrs.field(factory=deque)
+    query: deque = attrs.field(factory=deque)
+
+    def any_left(self) -> bool:
+        return bool(
+            self.membership or self.control or self.client or self.query
+        )
+
+    def for_payload(self, payload: object) -> deque:
+        if isinstance(payload, control.OpReply):
+            return self.client
+        if isinstance(payload, _CONTROL_PAYLOADS):
+            return self.control
+        return self.membership
+
+
+_QUERY_INPUTS = (
+    query.Request,
+    query.CallerGone,
+    query.AttemptAnswer,
+    query.AttemptFailed,
+)
+_TO_QUERY = (
+    query.ServerChanged,
+    query.ServerGone,
+    query.DocumentChanged,
+    query.ControlReady,
+)
+_TO_MEMBERSHIP = (
+    query.DrainSeen,
+    control.DocumentAccepted,
+    control.Confirmed,
+)
+_CONTROL_INPUTS = (
+    control.Persisted,
+    control.PersistFailed,
+    control.Recovered,
+)
+_CONTROL_PAYLOADS = (
+    control.VoteRequest,
+    control.VoteReply,
+    control.AppendRequest,
+    control.AppendReply,
+    control.InstallSnapshot,
+    control.JoinRequest,
+    control.JoinReply,
+    control.OpRequest,
+)
--- /dev/null
+++ b/greengagemoor/query/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions on queries: snapshot, choice, limits, answers."""
--- /dev/null
+++ b/greengagemoor/query/tables.py
@@ -0,0 +1,215 @@
+"""Rows and tables of the query decider."""
+
+from __future__ import annotations
+
+import enum
+import heapq
+from collections import Counter
+from itertools import count
+from typing import TYPE_CHECKING
+
+import attrs
+
+from greengagemoor.query.budget import Budget
+from greengagemoor.query.fairqueue import FairQueue
+from greengagemoor.query.latency import LatencyWindow
+
+if TYPE_CHECKING:
+    from greengagemoor.backends import BackendServer
+    from greengagemoor.document import RequestClass, Service
+    from greengagemoor.query.messages import Request
+
+FIRST_LATENCY_S = 0.02
+
+
+class AttemptKind(enum.Enum):
+    """Why an attempt was started."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
+@attrs.define(eq=False)
+class Searcher:
+    """A backend server as this entry knows and measures it."""
+
+    info: BackendServer
+    share: int
+    ready_since: float
+    adaptive: bool = True
+    in_flight: int = 0
+    limit: float = 1.0
+    latency: float = FIRST_LATENCY_S
+    last_used: float = 0.0
+    failures: int = 0
+    sheds: int = 0
+    backoff_until: float = 0.0
+    ejected_until: float = 0.0
+    connections: int = 0
+
+
+@attrs.define(eq=False)
+class Snapshot:
+    """One index version of a service and the ready holders of each shard."""
+
+    version: int
+    counts: Counter = attrs.field(factory=Counter)
+    holders: dict[int, dict[str, Searcher]] = attrs.field(factory=dict)
+
+    @property
+    def in_conflict(self) -> bool:
+        """Whether two searchers claim different shard counts."""
+        return len(self.counts) > 1
+
+    @property
+    def shard_count(self) -> int:
+        """Shards in this version."""
+        return next(iter(self.counts), 0)
+
+    @property
+    def coverage(self) -> float:
+        """Share of the shards that have a ready holder."""
+        return len(self.holders) / self.shard_count if self.counts else 0.0
+
+
+@attrs.define(eq=False)
+class ServiceRow:
+    """A service: its rules, searchers, snapshots, queue and measures."""
+
+    rules: Service
+    searchers: dict[str, Searcher] = attrs.field(factory=dict)
+    snapshots: dict[int, Snapshot] = attrs.field(factory=dict)
+    queue: FairQueue = attrs.field(factory=FairQueue)
+    unplaced: dict[int, Query] = attrs.field(factory=dict)
+    running: int = 0
+    query_time: float = FIRST_LATENCY_S
+    latency: LatencyWindow = attrs.field(factory=LatencyWindow)
+    hedges: dict[str, Budget] = attrs.field(factory=dict)
+    retries: dict[str, Budget] = attrs.field(factory=dict)
+    flights: dict[tuple, Query] = attrs.field(factory=dict)
+
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether queries wait for room, so that extra load would hurt."""
+        return len(self.queue) > 0
+
+    def hedge_budget(self, cls: RequestClass) -> Budget:
+        """Returns the hedge budget of a class."""
+        if cls.name not in self.hedges:
+            self.hedges[cls.name] = Budget(cls.hedge_budget)
+        return self.hedges[cls.name]
+
+    def retry_budget(self, cls: RequestClass) -> Budget:
+        """Returns the retry budget of a class."""
+        if cls.name not in self.retries:
+            self.retries[cls.name] = Budget(cls.retry_budget)
+        return self.retries[cls.name]
+
+
+@attrs.define(eq=False)
+class Waiter:
+    """One caller's connection that waits for a query's answer."""
+
+    token: int
+    caller: str
+    request_id: str
+    started: float
+    deadline: float
+
+
+class Phase(enum.Enum):
+    """Where a query stands."""
+
+    CLAIMING = "claiming"
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+
+
+@attrs.define(eq=False)
+class Query:
+    """One flight: a request that is asked of searchers, and its waiters."""
+
+    id: int
+    request: Request
+    cls: RequestClass
+    service: ServiceRow
+    started: float
+    deadline: float
+    waiters: dict[int, Waiter] = attrs.field(factory=dict)
+    phase: Phase = Phase.QUEUED
+    snapshot: int = -1
+    needed: tuple[int, ...] = ()
+    shard_count: int = 0
+    unplaced: set[int] = attrs.field(factory=set)
+    reflected: dict[int, str] = attrs.field(factory=dict)
+    reasons: dict[int, str] = attrs.field(factory=dict)
+    tries: Counter = attrs.field(factory=Counter)
+    tried: dict[int, set[str]] = attrs.field(factory=dict)
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    attempts_made: int = 0
+    restarts: int = 0
+    may_have_run: bool = False
+    ran_and_failed: bool = False
+    send_before: float = float("inf")
+    flight_key: tuple | None = None
+    began: float = 0.0
+
+    @property
+    def coverage(self) -> float:
+        """Share of the needed shards that are reflected."""
+        return len(self.reflected) / len(self.needed) if self.needed else 0.0
+
+    @property
+    def is_claimed(self) -> bool:
+        """Whether the ledger granted this query's single send."""
+        return self.send_before != float("inf")
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """All shards that one searcher is asked for one query."""
+
+    id: int
+    query: Query
+    searcher: Searcher
+    shards: tuple[int, ...]
+    snapshot: int
+    kind: AttemptKind
+    started: float
+    deadline: float
+    cancelled: bool = False
+
+
+class TimerKind(enum.Enum):
+    """What falls due."""
+
+    WAITER = "waiter"
+    CUT = "cut"
+    HEDGE = "hedge"
+    ATTEMPT = "attempt"
+    DISPATCH = "dispatch"
+
+
+@attrs.define(eq=False)
+class Tables:
+    """All rows of the query decider, and the timers over them."""
+
+    services: dict[str, ServiceRow] = attrs.field(factory=dict)
+    queries: dict[int, Query] = attrs.field(factory=dict)
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    by_token: dict[int, Query] = attrs.field(factory=dict)
+    timers: list[tuple] = attrs.field(factory=list)
+    dirty: dict[str, ServiceRow] = attrs.field(factory=dict)
+    ids: count = attrs.field(factory=lambda: count(1))
+
+    def set_timer(self, at: float, kind: TimerKind, key) -> None:
+        """Makes ``key`` fall due at ``at``; stale timers are ignored."""
+        heapq.heappush(self.timers, (at, next(self.ids), kind, key))
+
+    def due(self, now: float):
+        """Yields (kind, key) of what is due."""
+        while self.timers and self.timers[0][0] <= now:
+            _, _, kind, key = heapq.heappop(self.timers)
+            yield kind, key
--- /dev/null
+++ b/greengagemoor/shell/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, disks, threads and clocks around the pure deciders."""
--- /dev/null
+++ b/greengagemoor/shell/backend_api.py
@@ -0,0 +1,138 @@
+"""JSON bodies between entries and backend servers (docs/OPERATING.md)."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from greengagemoor.backends import ServerState
+from greengagemoor.errors import InvalidInputError
+from greengagemoor.query.messages import (
+    AttemptAnswer,
+    AttemptFailed,
+    Failure,
+    ShardResult,
+)
+from greengagemoor.util import shape
+
+if TYPE_CHECKING:
+    from greengagemoor.query.messages import StartAttempt
+
+ATTEMPTS_PATH = "/v1/attempts"
+CANCELLATIONS_PATH = "/v1/cancellations"
+OK_STATUS = 200
+CANCELLED_STATUS = 409
+REFUSED_STATUS = 503
+
+_REASONS = {
+    "shed": Failure.SHED,
+    "draining": Failure.DRAINING,
+    "version_gone": Failure.VERSION_GONE,
+}
+
+
+@attrs.frozen
+class ShardValue:
+    """One shard's result; ``value`` is any JSON."""
+
+    shard: int
+    value: Any
+
+
+@attrs.frozen
+class AnswerBody:
+    """A searcher's answer to an attempt."""
+
+    attempt_id: str
+    request_id: str
+    snapshot: int
+    results: tuple[ShardValue, ...]
+    absent: tuple[int, ...] = ()
+    state: ServerState | None = None
+
+
+@attrs.frozen
+class RefusalBody:
+    """A searcher's refusal, or its word that the attempt failed.
+
+    Attributes:
+        ran: whether any of the attempt may have run.
+        reason: shed, draining, version_gone, cancelled, or free text.
+    """
+
+    ran: bool
+    reason: str = ""
+    retry_after_s: float = 0.0
+    state: ServerState | None = None
+
+
+def attempt_name(process: str, attempt_id: int) -> str:
+    """Returns the id that a searcher sees; unique over all entries."""
+    return f"{process}/{attempt_id}"
+
+
+def request_body(msg: StartAttempt, process: str, remaining: float) -> bytes:
+    """Returns the JSON body of an attempt."""
+    body = {
+        "attempt_id": attempt_name(process, msg.attempt_id),
+        "request_id": msg.request_id,
+        "caller": msg.caller,
+        "service": msg.service,
+        "snapshot": msg.snapshot,
+        "shards": msg.shards,
+        "remaining_ms": int(remaining * 1000),
+        "repeatable": msg.repeatable,
+        "body": json.loads(msg.body) if msg.body else None,
+    }
+    return json.dumps(body).encode()
+
+
+def read_answer(
+    msg: StartAttempt, process: str, status: int, data: bytes
+) -> AttemptAnswer | AttemptFailed:
+    """Turns a searcher's HTTP answer into a message for the decider."""
+    try:
+        if status == OK_STATUS:
+            return _read_results(msg, process, data)
+        return _read_refusal(msg, status, data)
+    except InvalidInputError:
+        return AttemptFailed(msg.attempt_id, Failure.MISMATCH)
+
+
+def _read_results(
+    msg: StartAttempt, process: str, data: bytes
+) -> AttemptAnswer | AttemptFailed:
+    body = shape.parse_json(data, AnswerBody)
+    if body.attempt_id != attempt_name(process, msg.attempt_id):
+        return AttemptFailed(msg.attempt_id, Failure.MISMATCH)
+    return AttemptAnswer(
+        attempt_id=msg.attempt_id,
+        request_id=body.request_id,
+        snapshot=body.snapshot,
+        results=tuple(
+            ShardResult(item.shard, json.dumps(item.value))
+            for item in body.results
+        ),
+        absent=body.absent,
+        server_state=body.state,
+    )
+
+
+def _read_refusal(msg: StartAttempt, status: int, data: bytes) -> AttemptFailed:
+    body = shape.parse_json(data, RefusalBody)
+    return AttemptFailed(
+        attempt_id=msg.attempt_id,
+        failure=_failure_of(status, body),
+        retry_after_s=max(0.0, body.retry_after_s),
+        server_state=body.state,
+    )
+
+
+def _failure_of(status: int, body: RefusalBody) -> Failure:
+    if status == CANCELLED_STATUS:
+        return Failure.CANCELLED
+    if status == REFUSED_STATUS and not body.ran:
+        return _REASONS.get(body.reason, Failure.SHED)
+    return Failure.ERROR
--- /dev/null
+++ b/greengagemoor/shell/disk.py
@@ -0,0 +1,67 @@
+"""The thread that writes and syncs; operations that wait share a sync."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from typing import TYPE_CHECKING
+
+from greengagemoor import log
+from greengagemoor.control.messages import Persisted, PersistFailed
+from greengagemoor.errors import StorageError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagemoor.control.messages import Persist
+    from greengagemoor.storage.store import Store
+
+
+class DiskWriter:
+    """Writes ``Persist`` operations in order."""
+
+    def __init__(self, store: Store, put: Callable[[object], None]):
+        self._store = store
+        self._put = put
+        self._inbox: queue.SimpleQueue[Persist | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run, name="disk")
+        self.syncs = 0
+
+    def write(self, operation: Persist) -> None:
+        """Hands an operation over; ``Persisted`` follows when it is synced."""
+        self._inbox.put(operation)
+
+    def start(self) -> None:
+        """Starts writing."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends after all that was handed over is synced."""
+        self._inbox.put(None)
+        self._thread.join()
+        self._store.close()
+
+    def _run(self) -> None:
+        ending = False
+        while not ending:
+            operations, ending = self._collect()
+            if operations:
+                self._write(operations)
+
+    def _collect(self) -> tuple[list[Persist], bool]:
+        taken = [self._inbox.get()]
+        while not self._inbox.empty():
+            taken.append(self._inbox.get())
+        operations = [item for item in taken if item is not None]
+        return operations, len(operations) < len(taken)
+
+    def _write(self, operations: list[Persist]) -> None:
+        last = operations[-1].op
+        try:
+            self._store.write(operations)
+        except StorageError as exc:
+            log.event("disk_failed", level="ERROR", reason=exc)
+            self._put(PersistFailed(operations[0].op, str(exc)))
+            return
+        self.syncs += 1
+        self._put(Persisted(last))
--- /dev/null
+++ b/greengagemoor/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The data folder: synced records, snapshots and recovery."""
--- /dev/null
+++ b/greengagemoor/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small topical helpers."""
--- /dev/null
+++ b/greengagemoor/util/shape.py
@@ -0,0 +1,105 @@
+"""Strict conversion between JSON and attrs classes, with a path per fault."""
+
+from __future__ import annotations
+
+import enum
+import json
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+from cattrs.gen import make_dict_structure_fn
+from cattrs.v import format_exception
+
+from greengagemoor.errors import InvalidInputError
+
+T = TypeVar("T")
+
+
+def _strict(kind: type, *accepted: type):
+    def structure(value: Any, _: type) -> Any:
+        if type(value) not in accepted:
+            raise TypeError(f"expected {kind.__name__}")
+        return kind(value)
+
+    return structure
+
+
+def _structure_enum(value: Any, cls: type[enum.Enum]) -> enum.Enum:
+    if isinstance(value, bool):
+        raise TypeError(f"expected one of {[item.value for item in cls]}")
+    return cls(value)
+
+
+def _add_exact(conv: cattrs.Converter, kind: type, *accepted: type) -> None:
+    hook = _strict(kind, *accepted)
+    conv.register_structure_hook_func(lambda cls: cls is kind, hook)
+
+
+def _make_converter() -> cattrs.Converter:
+    conv = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+    # Exact classes: an IntEnum is an int too, and must stay an enum.
+    _add_exact(conv, int, int)
+    _add_exact(conv, float, int, float)
+    _add_exact(conv, str, str)
+    _add_exact(conv, bool, bool)
+    conv.register_structure_hook_func(
+        lambda cls: isinstance(cls, type) and issubclass(cls, enum.Enum),
+        _structure_enum,
+    )
+    conv.register_structure_hook_factory(
+        attrs.has,
+        lambda cls: make_dict_structure_fn(
+            cls, conv, _cattrs_forbid_extra_keys=True
+        ),
+    )
+    return conv
+
+
+_converter = _make_converter()
+
+
+def _describe(exc: BaseException, kind: type | None) -> str:
+    if isinstance(exc, (TypeError, ValueError)) and not isinstance(
+        exc, UnicodeError
+    ):
+        return str(exc) or type(exc).__name__
+    return format_exception(exc, kind)
+
+
+def from_json(value: Any, cls: type[T]) -> T:
+    """Builds an attrs instance from decoded JSON.
+
+    Args:
+        value: what ``json.loads`` returned.
+        cls: the attrs class to build.
+
+    Raises:
+        InvalidInputError: with every fault and its path, ``... @ $.a[0].b``.
+    """
+    try:
+        return _converter.structure(value, cls)
+    except cattrs.BaseValidationError as exc:
+        faults = cattrs.transform_error(exc, format_exception=_describe)
+        raise InvalidInputError(faults) from exc
+    except (TypeError, ValueError, AttributeError) as exc:
+        raise InvalidInputError([f"expected an object @ $ ({exc})"]) from exc
+
+
+def parse_json(text: str | bytes, cls: type[T]) -> T:
+    """Decodes JSON text and builds an attrs instance; see ``from_json``."""
+    try:
+        value = json.loads(text)
+    except (ValueError, RecursionError) as exc:
+        raise InvalidInputError([f"not JSON: {exc} @ $"]) from exc
+    return from_json(value, cls)
+
+
+def to_json(value: Any) -> Any:
+    """Returns the JSON form of an attrs instance, enums by value."""
+    return _converter.unstructure(value)
+
+
+def dump_json(value: Any) -> str:
+    """Returns canonical JSON text: sorted keys, no spaces."""
+    return json.dumps(to_json(value), sort_keys=True, separators=(",", ":"))
--- /dev/null
+++ b/greengagemoor/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between our own processes and their codec."""
--- /dev/null
+++ b/greengagemoor/wire/codec.py
@@ -0,0 +1,209 @@
+"""Converts attrs messages to protobuf and back, by equal names."""
+
+from __future__ import annotations
+
+import enum
+import types
+import typing
+from functools import cache
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from google.protobuf.message import DecodeError
+
+from greengagemoor import backends
+from greengagemoor.control import messages as control
+from greengagemoor.errors import WireError
+from greengagemoor.membership import messages as membership
+from greengagemoor.membership import rows
+from greengagemoor.wire import peers_pb2 as pb
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from google.protobuf.message import Message
+
+_SOURCES = (backends, control, membership, rows)
+
+
+def _snake(name: str) -> str:
+    parts = [f"_{c.lower()}" if c.isupper() else c for c in name]
+    return "".join(parts).lstrip("_")
+
+
+def _find_classes() -> dict[str, type]:
+    names = pb.DESCRIPTOR.message_types_by_name
+    return {
+        name: getattr(source, name)
+        for source in _SOURCES
+        for name in names
+        if hasattr(source, name) and attrs.has(getattr(source, name))
+    }
+
+
+_CLASSES = _find_classes()
+_ENVELOPE_FIELDS = {
+    field.name: _CLASSES[field.message_type.name]
+    for field in pb.Envelope.DESCRIPTOR.oneofs_by_name["body"].fields
+}
+_COMMAND_FIELDS = {
+    field.name: _CLASSES[field.message_type.name]
+    for field in pb.Command.DESCRIPTOR.oneofs_by_name["body"].fields
+}
+
+
+@attrs.frozen
+class _Field:
+    """How one attrs field is converted.
+
+    Attributes:
+        item: attrs class or enum of the value or its items, None for a
+            plain value.
+        many: whether it is a tuple.
+        command: whether it is a log command, in a message of alternatives.
+    """
+
+    name: str
+    item: type | None
+    many: bool
+    command: bool
+
+
+@cache
+def _fields(cls: type) -> tuple[_Field, ...]:
+    hints = typing.get_type_hints(cls)
+    return tuple(
+        _describe(field.name, hints[field.name]) for field in attrs.fields(cls)
+    )
+
+
+def _describe(name: str, hint: Any) -> _Field:
+    many = typing.get_origin(hint) is tuple
+    item = typing.get_args(hint)[0] if many else hint
+    if isinstance(item, types.UnionType):
+        return _Field(name, None, many, command=True)
+    structured = isinstance(item, type) and (
+        attrs.has(item) or issubclass(item, enum.Enum)
+    )
+    return _Field(name, item if structured else None, many, command=False)
+
+
+def to_message(value: Any) -> Message:
+    """Returns the protobuf message of an attrs instance."""
+    message = getattr(pb, type(value).__name__)()
+    _fill(message, value)
+    return message
+
+
+def _fill(message: Message, value: Any) -> None:
+    for field in _fields(type(value)):
+        part = getattr(value, field.name)
+        if field.command:
+            if part is not None:
+                _fill_choice(getattr(message, field.name), part)
+        elif field.many:
+            _fill_many(getattr(message, field.name), field, part)
+        elif field.item is None:
+            setattr(message, field.name, part)
+        elif isinstance(part, enum.Enum):
+            setattr(message, field.name, part.value)
+        else:
+            target = getattr(message, field.name)
+            target.SetInParent()
+            _fill(target, part)
+
+
+def _fill_many(target: Any, field: _Field, parts: Iterable[Any]) -> None:
+    if field.item is None:
+        target.extend(parts)
+        return
+    for part in parts:
+        _fill(target.add(), part)
+
+
+def _fill_choice(message: Message, value: Any) -> None:
+    target = getattr(message, _snake(type(value).__name__))
+    target.SetInParent()
+    _fill(target, value)
+
+
+def from_message(message: Message, cls: type) -> Any:
+    """Returns the attrs instance of a protobuf message.
+
+    Raises:
+        WireError: a value is not what the class allows.
+    """
+    try:
+        return _build(message, cls)
+    except (ValueError, TypeError) as exc:
+        raise WireError(f"{cls.__name__}: {exc}") from exc
+
+
+def _build(message: Message, cls: type) -> Any:
+    return cls(*(_read(message, field) for field in _fields(cls)))
+
+
+def _read(message: Message, field: _Field) -> Any:
+    part = getattr(message, field.name)
+    if field.command:
+        return _read_choice(part, _COMMAND_FIELDS)
+    if field.many:
+        if field.item is None:
+            return tuple(part)
+        return tuple(_build(item, field.item) for item in part)
+    if field.item is None:
+        return part
+    if issubclass(field.item, enum.Enum):
+        return field.item(part)
+    return _build(part, field.item)
+
+
+def _read_choice(message: Message, classes: dict[str, type]) -> Any:
+    name = message.WhichOneof("body")
+    if name is None:
+        return None
+    return _build(getattr(message, name), classes[name])
+
+
+def to_batch(sender: str, payloads: Iterable[Any]) -> pb.Batch:
+    """Returns the batch that carries payloads to another process."""
+    batch = pb.Batch(sender=sender)
+    for payload in payloads:
+        _fill_choice(batch.envelopes.add(), payload)
+    return batch
+
+
+def from_batch(batch: pb.Batch) -> list[Any]:
+    """Returns the payloads of a batch.
+
+    Raises:
+        WireError: the batch holds something that this version doesn't know.
+    """
+    try:
+        payloads = [
+            _read_choice(envelope, _ENVELOPE_FIELDS)
+            for envelope in batch.envelopes
+        ]
+    except (ValueError, TypeError) as exc:
+        raise WireError(str(exc)) from exc
+    if any(payload is None for payload in payloads):
+        raise WireError("a message of an unknown kind")
+    return payloads
+
+
+def encode(value: Any) -> bytes:
+    """Returns the bytes of an attrs instance."""
+    return to_message(value).SerializeToString()
+
+
+def decode(data: bytes, cls: type) -> Any:
+    """Returns the attrs instance of bytes.
+
+    Raises:
+        WireError: the bytes are not such a message.
+    """
+    try:
+        message = getattr(pb, cls.__name__).FromString(data)
+    except DecodeError as exc:
+        raise WireError(f"{cls.__name__}: {exc}") from exc
+    return from_message(message, cls)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of greengagemoor."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,15 @@
+"""Settings that make every run of the tests the same."""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    "same",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    print_blob=False,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile("same")
