--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; none of this is part of the product."""
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,183 @@
+"""Compares query policies with the naive baseline: ``make bench``.
+
+The same seed gives the same output. Columns: latencies of answers in ms;
+coverage; attempts for each needed shard; share refused; share without an
+answer in time; work after it was useful; largest connections on a searcher
+against its cap; goodput against capacity, over the run and over seconds 3 to
+6 (when spikes last); whole answers of the callers that don't spike, in those
+seconds; wrong answers.
+"""
+
+from __future__ import annotations
+
+import sys
+
+import attrs
+
+from bench.model import SPIKE, Bench, Kind, Policy
+from bench.scenarios import RUN_S, scenarios
+
+SEED = 20261202
+DRAIN_S = 3.0
+
+ATLAS = {"far_s": 0.0015, "data_centres": 3}
+DOWNS = {"far_s": 0.001, "data_centres": 4}
+KINDS = (
+    Kind("atlas-dispatch", 3, 5, 40, 0.006, deadline_s=1.0, **ATLAS),
+    Kind("atlas-billing", 3, 5, 40, 0.006, deadline_s=1.0, **ATLAS),
+    Kind("atlas-archives", 7, 6, 110, 0.001, deadline_s=2.0, **ATLAS),
+    Kind("atlas-reporting", 3, 6, 110, 0.001, deadline_s=2.0, **ATLAS),
+    Kind("downs-driver", 3, 2, 25, 0.006, deadline_s=0.5, **DOWNS),
+    Kind("downs-planner", 3, 2, 25, 0.006, deadline_s=0.5, **DOWNS),
+    Kind("downs-accounts", 4, 4, 45, 0.001, deadline_s=2.0, **DOWNS),
+    Kind("downs-compliance", 4, 4, 45, 0.001, deadline_s=2.0, **DOWNS),
+)
+FULL_KINDS = ("atlas-dispatch", "downs-driver")
+
+NAIVE = Policy(
+    "naive",
+    service={"adaptive_limit": False},
+    request_class={
+        "chooser": "random",
+        "hedge_budget": 0.0,
+        "retry_budget": 10.0,
+        "max_attempts": 4,
+        "max_queue": 100_000,
+        "refuse_late": False,
+        "join_equal": False,
+    },
+    shares=False,
+    steered=False,
+)
+DEFAULT = Policy("default")
+TAIL_FIRST = Policy(
+    "tail-first",
+    request_class={"completion": "cut_at_tail", "least_coverage": 0.6},
+)
+WITHOUT = (
+    Policy("no-hedge", request_class={"hedge_budget": 0.0}),
+    Policy("no-limit", service={"adaptive_limit": False}),
+    Policy("no-queue-rule", request_class={"refuse_late": False}),
+    Policy("no-join", request_class={"join_equal": False}),
+    Policy("random", request_class={"chooser": "random"}),
+    Policy("not-steered", steered=False),
+)
+
+
+@attrs.frozen
+class Row:
+    """One measured run."""
+
+    scenario: str
+    kind: str
+    policy: str
+    p50: float
+    p99: float
+    p999: float
+    coverage: float
+    attempts: float
+    refused: float
+    late: float
+    wasted: float
+    connections: int
+    cap: int
+    goodput: float
+    spike: float
+    others: float
+    wrong: int
+
+
+def measure(scenario: str, kind: Kind, policy: Policy) -> Row:
+    """Runs one scenario and returns its figures."""
+    bench = Bench(kind, policy, SEED)
+    scenarios.get(scenario)(bench)
+    bench.run(RUN_S + DRAIN_S)
+    outcome = bench.outcome
+    start, end = SPIKE
+    counters = [entry.state.counters for entry in bench.entries]
+    first = sum(c.first_shards for c in counters)
+    more = sum(c.retry_shards + c.hedge_shards for c in counters)
+    work = sum(s.work for s in bench.searchers)
+    wasted = sum(s.wasted for s in bench.searchers)
+    return Row(
+        scenario=scenario,
+        kind=kind.name,
+        policy=policy.name,
+        p50=_quantile(outcome.latencies, 0.5),
+        p99=_quantile(outcome.latencies, 0.99),
+        p999=_quantile(outcome.latencies, 0.999),
+        coverage=outcome.coverage / max(1, outcome.answered),
+        attempts=(first + more) / max(1, first),
+        refused=outcome.refused / outcome.sent,
+        late=outcome.late / outcome.sent,
+        wasted=wasted / max(work, 1e-9),
+        connections=max(s.most_connections for s in bench.searchers),
+        cap=kind.connection_cap,
+        goodput=outcome.whole / RUN_S / kind.capacity,
+        spike=outcome.whole_in_spike / (end - start) / kind.capacity,
+        others=outcome.others_whole / max(1, outcome.others_sent),
+        wrong=outcome.wrong,
+    )
+
+
+def _quantile(samples: list[float], share: float) -> float:
+    if not samples:
+        return float("nan")
+    ordered = sorted(samples)
+    return 1000 * ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+HEADER = (
+    f"{'scenario':17} {'kind':16} {'policy':13} {'p50':>7} {'p99':>7} "
+    f"{'p99.9':>7} {'cover':>6} {'att':>5} {'refus':>6} {'late':>6} "
+    f"{'waste':>6} {'conn':>8} {'good':>5} {'3-6s':>5} {'other':>5} wrong"
+)
+
+
+def show(row: Row) -> str:
+    """Returns a row as a line of the table."""
+    return (
+        f"{row.scenario:17} {row.kind:16} {row.policy:13} {row.p50:7.1f} "
+        f"{row.p99:7.1f} {row.p999:7.1f} {row.coverage:6.3f} "
+        f"{row.attempts:5.2f} {row.refused:6.3f} {row.late:6.3f} "
+        f"{row.wasted:6.3f} {row.connections:4d}/{row.cap:<3d} "
+        f"{row.goodput:5.2f} {row.spike:5.2f} {row.others:5.2f} "
+        f"{row.wrong:5d}"
+    )
+
+
+def runs() -> list[tuple[str, Kind, Policy]]:
+    """Returns what ``make bench`` measures, in order."""
+    full = [kind for kind in KINDS if kind.name in FULL_KINDS]
+    others = [kind for kind in KINDS if kind.name not in FULL_KINDS]
+    table = [
+        (scenario, kind, policy)
+        for scenario in scenarios.names()
+        for kind in full
+        for policy in (NAIVE, DEFAULT, TAIL_FIRST)
+    ]
+    table += [
+        ("steady-70", kind, policy)
+        for kind in others
+        for policy in (NAIVE, DEFAULT)
+    ]
+    ablations = ("one-slow", "spike-one-caller", "spike-one-query")
+    table += [
+        (scenario, full[0], policy)
+        for scenario in ablations
+        for policy in WITHOUT
+    ]
+    return table
+
+
+def main() -> None:
+    """Prints the whole table, or the scenarios named as arguments."""
+    wanted = sys.argv[1:]
+    print(HEADER)
+    for scenario, kind, policy in runs():
+        if not wanted or scenario in wanted:
+            print(show(measure(scenario, kind, policy)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
