One slow searcher: wait for a good one, hedge until it is placed

Symptom: with one searcher 20 times slower p99 was 429 ms (52 without it).

Causes, from a trace of every query over 100 ms: 1. The slow searcher was the one that always had room, so it was chosen whenever the good ones were full. A searcher that costs three times the best, full one is now left idle. 2. The cost grew with in-flight attempts as if slots queued; three attempts on five slots looked four times as slow. It now grows to twice at most. 3. A late attempt was looked at once; when the others were full just then, or only part of its shards found room, it stayed late. It is looked at again. 4. The hedge budget counted attempts and was always spent at the 95th percentile. It counts shards, and the default is the 98th. 5. Attempts that test whether a slow searcher recovered got the usual patience; they get the median now.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -11,13 +11,15 @@
 from __future__ import annotations
 
 import sys
+from concurrent.futures import ProcessPoolExecutor
 
 import attrs
 
-from bench.model import SPIKE, Bench, Kind, Policy
+from bench.model import SPIKE, Bench, Kind, Outcome, Policy
 from bench.scenarios import RUN_S, scenarios
 
-SEED = 20261202
+SEEDS = (20261202, 20261203, 20261204)
+WORKERS = 4
 DRAIN_S = 3.0
 
 ATLAS = {"far_s": 0.0015, "data_centres": 3}
@@ -89,16 +91,17 @@
 
 def measure(scenario: str, kind: Kind, policy: Policy) -> Row:
     """Runs one scenario and returns its figures."""
-    bench = Bench(kind, policy, SEED)
-    scenarios.get(scenario)(bench)
-    bench.run(RUN_S + DRAIN_S)
-    outcome = bench.outcome
+    benches = [_run(scenario, kind, policy, seed) for seed in SEEDS]
+    outcome = _add([bench.outcome for bench in benches])
     start, end = SPIKE
-    counters = [entry.state.counters for entry in bench.entries]
+    entries = [entry for bench in benches for entry in bench.entries]
+    counters = [entry.state.counters for entry in entries]
     first = sum(c.first_shards for c in counters)
     more = sum(c.retry_shards + c.hedge_shards for c in counters)
-    work = sum(s.work for s in bench.searchers)
-    wasted = sum(s.wasted for s in bench.searchers)
+    searchers = [s for bench in benches for s in bench.searchers]
+    work = sum(s.work for s in searchers)
+    wasted = sum(s.wasted for s in searchers)
+    capacity = kind.capacity * len(SEEDS)
     return Row(
         scenario=scenario,
         kind=kind.name,
@@ -111,15 +114,32 @@
         refused=outcome.refused / outcome.sent,
         late=outcome.late / outcome.sent,
         wasted=wasted / max(work, 1e-9),
-        connections=max(s.most_connections for s in bench.searchers),
+        connections=max(s.most_connections for s in searchers),
         cap=kind.connection_cap,
-        goodput=outcome.whole / RUN_S / kind.capacity,
-        spike=outcome.whole_in_spike / (end - start) / kind.capacity,
+        goodput=outcome.whole / RUN_S / capacity,
+        spike=outcome.whole_in_spike / (end - start) / capacity,
         others=outcome.others_whole / max(1, outcome.others_sent),
         wrong=outcome.wrong,
     )
 
 
+def _run(scenario: str, kind: Kind, policy: Policy, seed: int) -> Bench:
+    bench = Bench(kind, policy, seed)
+    scenarios.get(scenario)(bench)
+    bench.run(RUN_S + DRAIN_S)
+    return bench
+
+
+def _add(outcomes: list[Outcome]) -> Outcome:
+    """Returns the sum of several runs' outcomes."""
+    total = Outcome()
+    for name in attrs.fields_dict(Outcome):
+        parts = [getattr(outcome, name) for outcome in outcomes]
+        start = [] if name == "latencies" else 0
+        setattr(total, name, sum(parts, start))
+    return total
+
+
 def _quantile(samples: list[float], share: float) -> float:
     if not samples:
         return float("nan")
@@ -174,9 +194,10 @@
     """Prints the whole table, or the scenarios named as arguments."""
     wanted = sys.argv[1:]
     print(HEADER)
-    for scenario, kind, policy in runs():
-        if not wanted or scenario in wanted:
-            print(show(measure(scenario, kind, policy)), flush=True)
+    chosen = [run for run in runs() if not wanted or run[0] in wanted]
+    with ProcessPoolExecutor(WORKERS) as pool:
+        for row in pool.map(measure, *zip(*chosen, strict=True)):
+            print(show(row), flush=True)
 
 
 if __name__ == "__main__":
--- a/greengagemoor/document.py
+++ b/greengagemoor/document.py
@@ -56,7 +56,7 @@
         default="least_cost", validator=_registered(choosers)
     )
     hedge_quantile: float = attrs.field(
-        default=0.95, validator=in_range(0.5, 1.0)
+        default=0.98, validator=in_range(0.5, 1.0)
     )
     hedge_budget: float = attrs.field(default=0.05, validator=in_range(0, 1))
     retry_budget: float = attrs.field(default=0.1, validator=in_range(0, 10))
--- a/greengagemoor/query/attempts.py
+++ b/greengagemoor/query/attempts.py
@@ -11,7 +11,9 @@
     from greengagemoor.query.state import State
     from greengagemoor.query.tables import Query, Searcher
 
-FIRST_HEDGE_DELAY_S = 0.1
+FIRST_HEDGE_DELAY_S = 0.05
+LEAST_LOOK_S = 0.01
+SLOW_FACTOR = 3.0
 CANCEL_GRACE_S = 0.5
 
 
@@ -81,9 +83,30 @@
     query = attempt.query
     if query.is_claimed:
         return
-    usual = query.service.latency.quantile(query.cls.hedge_quantile)
-    delay = FIRST_HEDGE_DELAY_S if usual is None else usual
-    at = state.now + delay
+    at = state.now + _patience(attempt)
+    if at < attempt.deadline:
+        state.tables.set_timer(at, TimerKind.HEDGE, attempt.id)
+
+
+def _patience(attempt: Attempt) -> float:
+    """Returns how long an attempt may take before it counts as late.
+
+    A searcher that was slow gets an attempt now and then, to find out whether
+    it still is; that one is given little time.
+    """
+    window = attempt.query.service.latency
+    usual = window.quantile(attempt.query.cls.hedge_quantile)
+    if usual is None:
+        return FIRST_HEDGE_DELAY_S
+    median = window.quantile(0.5)
+    was_slow = attempt.searcher.latency > SLOW_FACTOR * median
+    return median if was_slow else usual
+
+
+def watch_again(state: State, attempt: Attempt) -> None:
+    """Looks at a late attempt once more, a little later."""
+    pause = max(LEAST_LOOK_S, (state.now - attempt.started) / 8)
+    at = state.now + pause
     if at < attempt.deadline:
         state.tables.set_timer(at, TimerKind.HEDGE, attempt.id)
 
--- a/greengagemoor/query/budget.py
+++ b/greengagemoor/query/budget.py
@@ -1,32 +1,37 @@
-"""Token budgets that bound extra attempts as a share of first attempts."""
+"""Token budgets that bound extra work as a share of first work."""
 
 from __future__ import annotations
 
 import attrs
 
-BURST = 10.0
+BURST = 20.0
+"""Shards that may be asked again at once, after a quiet time."""
 
 
 @attrs.define
 class Budget:
-    """Earns ``ratio`` tokens for each first attempt; an extra one costs 1.
+    """Earns ``ratio`` tokens for each shard first asked; asking again costs 1.
 
     Without it, a slow fleet makes every attempt look late, each late attempt
     adds another, and the added load makes the fleet slower: one would see
     attempts for each shard rise together with latency. A share of the first
-    attempts can't grow that way.
+    work can't grow that way.
     """
 
     ratio: float
     tokens: float = BURST
 
-    def earn(self, attempts: int) -> None:
-        """Adds tokens for first attempts, up to a burst."""
-        self.tokens = min(BURST, self.tokens + self.ratio * attempts)
+    def earn(self, shards: int) -> None:
+        """Adds tokens for shards asked for the first time, up to a burst."""
+        self.tokens = min(BURST, self.tokens + self.ratio * shards)
 
-    def spend(self) -> bool:
-        """Takes a token if there is one."""
+    def spend(self, shards: int) -> bool:
+        """Takes a token for each shard, if any is left.
+
+        An attempt of more shards than there are tokens leaves a debt, so that
+        a searcher of many shards can be hedged too.
+        """
         if self.tokens < 1.0 or self.ratio <= 0.0:
             return False
-        self.tokens -= 1.0
+        self.tokens -= shards
         return True
--- a/greengagemoor/query/choosing.py
+++ b/greengagemoor/query/choosing.py
@@ -19,6 +19,12 @@
 REMOTE_PENALTY_S = 0.002
 COLD_FACTOR = 4.0
 LOAD_HINT_WEIGHT = 0.1
+WORTH_WAITING = 3.0
+"""A searcher with room that costs this many times a full one is left idle.
+
+Without it, the slow searcher is the one that always has room: one would see
+the worst latencies just when the good searchers are full.
+"""
 
 
 @attrs.frozen
@@ -91,14 +97,25 @@
     costs: dict[str, float],
 ) -> str | None:
     candidates = _candidates(choice, holders, choice.avoid.get(shard, ()))
-    with_room = [s for s in candidates if limits.has_room(s, choice.now)]
-    if len(with_room) > FEW_HOLDERS:
-        with_room = choice.rng.sample(with_room, 2)
-    for searcher in with_room:
+    if len(candidates) > FEW_HOLDERS:
+        candidates = _sample(choice, candidates)
+    for searcher in candidates:
         if searcher.info.name not in costs:
             costs[searcher.info.name] = cost_of(searcher, choice)
-    best = min(with_room, key=lambda s: costs[s.info.name], default=None)
-    return best.info.name if best else None
+    with_room = [s for s in candidates if limits.has_room(s, choice.now)]
+    if not with_room:
+        return None
+    best = min(with_room, key=lambda s: costs[s.info.name])
+    least = min(costs[s.info.name] for s in candidates)
+    if costs[best.info.name] > WORTH_WAITING * least:
+        return None
+    return best.info.name
+
+
+def _sample(choice: Choice, candidates: list[Searcher]) -> list[Searcher]:
+    """Takes two at random, with room if there are such."""
+    with_room = [s for s in candidates if limits.has_room(s, choice.now)]
+    return choice.rng.sample(with_room if len(with_room) > 1 else candidates, 2)
 
 
 def _candidates(
@@ -119,7 +136,7 @@
 def cost_of(searcher: Searcher, choice: Choice) -> float:
     """Returns the expected seconds of one more attempt on the searcher."""
     base = _rested_latency(searcher, choice)
-    cost = base * (searcher.in_flight + 1)
+    cost = base * (1 + searcher.in_flight / limits.most_in_flight(searcher))
     if searcher.in_flight >= searcher.connections:
         cost += searcher.info.connect_cost_s
     if searcher.info.data_centre != choice.home:
--- a/greengagemoor/query/outcomes.py
+++ b/greengagemoor/query/outcomes.py
@@ -170,17 +170,17 @@
     wanted = [s for s in shards if s not in query.reflected and s not in due]
     query.reasons.update(dict.fromkeys(wanted, reason))
     able = [s for s in wanted if query.tries[s] < query.cls.max_attempts]
-    if not able or not (free or _may_retry(query)):
+    if not able or not (free or _may_retry(query, len(able))):
         return
     query.unplaced.update(able)
     query.service.unplaced[query.id] = query
     state.touch(query.service)
 
 
-def _may_retry(query: Query) -> bool:
+def _may_retry(query: Query, shards: int) -> bool:
     service = query.service
     return not service.is_overloaded and (
-        service.retry_budget(query.cls).spend()
+        service.retry_budget(query.cls).spend(shards)
     )
 
 
--- a/greengagemoor/query/placing.py
+++ b/greengagemoor/query/placing.py
@@ -117,8 +117,8 @@
     query.unplaced.difference_update(shards)
     attempts.start(state, query, searcher, shards, kind)
     if not again:
-        query.service.hedge_budget(query.cls).earn(1)
-        query.service.retry_budget(query.cls).earn(1)
+        query.service.hedge_budget(query.cls).earn(len(shards))
+        query.service.retry_budget(query.cls).earn(len(shards))
 
 
 def _wake_when_rested(state: State, query: Query) -> None:
@@ -140,19 +140,30 @@
     """Asks other searchers for the shards of a late attempt.
 
     Off under overload: when queries wait for room, a hedge takes the room of
-    a first attempt and makes all of them later.
+    a first attempt and makes all of them later. What can't be hedged now is
+    looked at again soon; a late attempt that is looked at only once stays
+    late when the other searchers were full at that moment.
     """
     query = attempt.query
     if attempt.cancelled or query.phase is not Phase.RUNNING:
         return
-    limits.note_overdue(attempt.searcher, state.now - attempt.started)
-    if query.service.is_overloaded or query.snapshot != attempt.snapshot:
+    if query.snapshot != attempt.snapshot:
         return
+    limits.note_overdue(attempt.searcher, state.now - attempt.started)
     late = _shards_to_hedge(query, attempt)
-    plan = _plan(state, query, late) if late else {}
-    if not plan or not query.service.hedge_budget(query.cls).spend():
+    if not late:
         return
-    for name, shards in plan.items():
+    if not query.service.is_overloaded:
+        _start_hedges(state, query, late)
+    if _shards_to_hedge(query, attempt):
+        attempts.watch_again(state, attempt)
+
+
+def _start_hedges(state: State, query: Query, late: list[int]) -> None:
+    budget = query.service.hedge_budget(query.cls)
+    for name, shards in _plan(state, query, late).items():
+        if not budget.spend(len(shards)):
+            return
         searcher = query.service.searchers[name]
         attempts.start(state, query, searcher, shards, AttemptKind.HEDGE)
 
