Shed storm: refusals no longer stop a service

Causes, from traces: queries resting after a refusal filled the bound on partly placed queries, so no other started; the pause that a refusal names held for the whole searcher; pauses doubled from the first refusal, which at one in two grows without end; limits were cut for each refusal of one burst; refusals used up the attempts of a shard. Each is mended; a class now has max_refusals beside max_attempts. Ruled out: the retry budget (refusals do not draw on it).

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -44,6 +44,7 @@
         "hedge_budget": 0.0,
         "retry_budget": 10.0,
         "max_attempts": 4,
+        "max_refusals": 3,
         "max_queue": 100_000,
         "refuse_late": False,
         "join_equal": False,
--- a/greengagemoor/document.py
+++ b/greengagemoor/document.py
@@ -61,6 +61,7 @@
     hedge_budget: float = attrs.field(default=0.05, validator=in_range(0, 1))
     retry_budget: float = attrs.field(default=0.1, validator=in_range(0, 10))
     max_attempts: int = attrs.field(default=4, validator=in_range(1, 100))
+    max_refusals: int = attrs.field(default=16, validator=in_range(0, 1000))
     max_queue: int = attrs.field(default=200, validator=in_range(0, 100_000))
     refuse_late: bool = True
     share_answers: bool = False
--- a/greengagemoor/query/choosing.py
+++ b/greengagemoor/query/choosing.py
@@ -34,6 +34,7 @@
     Attributes:
         home: data centre of this entry.
         avoid: for each shard, names of searchers already tried for it.
+        paused: until when a searcher that refused this query is left alone.
     """
 
     service: ServiceRow
@@ -42,6 +43,12 @@
     home: str
     rng: random.Random
     avoid: dict[int, set[str]] = attrs.field(factory=dict)
+    paused: dict[str, float] = attrs.field(factory=dict)
+
+    def has_room(self, searcher: Searcher) -> bool:
+        """Whether the query may start an attempt on the searcher now."""
+        rested = self.paused.get(searcher.info.name, 0.0) <= self.now
+        return rested and limits.has_room(searcher, self.now)
 
 
 @choosers.register("random")
@@ -102,7 +109,7 @@
     for searcher in candidates:
         if searcher.info.name not in costs:
             costs[searcher.info.name] = cost_of(searcher, choice)
-    with_room = [s for s in candidates if limits.has_room(s, choice.now)]
+    with_room = [s for s in candidates if choice.has_room(s)]
     if not with_room:
         return None
     best = min(with_room, key=lambda s: costs[s.info.name])
@@ -114,7 +121,7 @@
 
 def _sample(choice: Choice, candidates: list[Searcher]) -> list[Searcher]:
     """Takes two at random, with room if there are such."""
-    with_room = [s for s in candidates if limits.has_room(s, choice.now)]
+    with_room = [s for s in candidates if choice.has_room(s)]
     return choice.rng.sample(with_room if len(with_room) > 1 else candidates, 2)
 
 
--- a/greengagemoor/query/limits.py
+++ b/greengagemoor/query/limits.py
@@ -7,13 +7,14 @@
 if TYPE_CHECKING:
     from greengagemoor.query.tables import Searcher
 
-SHED_FACTOR = 0.7
+SHED_FACTOR = 0.85
 QUEUE_LOW = 0.5
 QUEUE_HIGH = 1.5
 EWMA_WEIGHT = 0.2
 SLOW_START_S = 5.0
-BACKOFF_FIRST_S = 0.02
-BACKOFF_MAX_S = 2.0
+BACKOFF_FIRST_S = 0.005
+SHEDS_BEFORE_DOUBLING = 3
+BACKOFF_MAX_S = 1.0
 EJECT_AFTER_FAILURES = 3
 EJECT_MAX_S = 30.0
 IDLE_HALF_LIFE_S = 5.0
@@ -63,12 +64,21 @@
         searcher.latency += EWMA_WEIGHT * 2 * (elapsed - searcher.latency)
 
 
-def note_shed(searcher: Searcher, now: float, retry_after: float) -> None:
-    """Learns from a refusal: smaller limit, and a pause."""
-    searcher.limit = max(1.0, searcher.limit * SHED_FACTOR)
+def note_shed(searcher: Searcher, now: float) -> None:
+    """Learns from a refusal: smaller limit, and a pause that doubles.
+
+    The time that the refusal names holds for the refused query only: one
+    shed attempt does not show that the next one would be.
+    """
+    # Refusals of attempts sent together tell of one moment; cutting for each
+    # of them would take the limit to one at the first burst.
+    if now - searcher.limit_cut_at > searcher.latency:
+        searcher.limit = max(1.0, searcher.limit * SHED_FACTOR)
+        searcher.limit_cut_at = now
     searcher.sheds += 1
-    pause = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2 ** min(searcher.sheds, 8))
-    searcher.backoff_until = now + max(retry_after, pause)
+    doublings = min(max(0, searcher.sheds - SHEDS_BEFORE_DOUBLING), 16)
+    pause = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2**doublings)
+    searcher.backoff_until = now + pause
 
 
 def note_failure(searcher: Searcher, now: float) -> None:
--- a/greengagemoor/query/outcomes.py
+++ b/greengagemoor/query/outcomes.py
@@ -137,7 +137,9 @@
     ):
         servers.drain(state, searcher)
     elif failure is Failure.SHED:
-        limits.note_shed(searcher, state.now, msg.retry_after_s)
+        limits.note_shed(searcher, state.now)
+        wait = min(msg.retry_after_s, limits.BACKOFF_MAX_S)
+        attempt.query.paused[searcher.info.name] = state.now + wait
     elif failure is Failure.VERSION_GONE:
         servers.drop_version(state, searcher, attempt.snapshot)
     elif failure is Failure.TIMEOUT:
@@ -169,7 +171,9 @@
     }
     wanted = [s for s in shards if s not in query.reflected and s not in due]
     query.reasons.update(dict.fromkeys(wanted, reason))
-    able = [s for s in wanted if query.tries[s] < query.cls.max_attempts]
+    if free:
+        query.refusals.update(wanted)
+    able = [s for s in wanted if _tries_left(query, s)]
     if not able or not (free or _may_retry(query, len(able))):
         return
     query.unplaced.update(able)
@@ -177,6 +181,14 @@
     state.touch(query.service)
 
 
+def _tries_left(query: Query, shard: int) -> bool:
+    """Whether a shard may be asked once more; refusals count for little."""
+    refusals = query.refusals[shard]
+    worked = query.tries[shard] - refusals
+    most = query.cls.max_attempts
+    return worked < most and refusals <= query.cls.max_refusals
+
+
 def _may_retry(query: Query, shards: int) -> bool:
     service = query.service
     return not service.is_overloaded and (
--- a/greengagemoor/query/placing.py
+++ b/greengagemoor/query/placing.py
@@ -41,13 +41,18 @@
 
     Queries partly placed hold slots while they wait for others, so few may be
     in that state: without the bound, many queries each hold some searchers and
-    none can finish.
+    none can finish. Queries that rest after a refusal do not count: they wait
+    for a time and not for room, and a storm of refusals would else stop all.
     """
-    while len(service.queue) and len(service.unplaced) < MOST_PARTLY_PLACED:
+    partly_placed = sum(
+        not query.is_resting(state.now) for query in service.unplaced.values()
+    )
+    while len(service.queue) and partly_placed < MOST_PARTLY_PLACED:
         if not _any_room(service, state.now):
             break
         query = service.queue.pop()
         _start(state, query)
+        partly_placed += query.id in service.unplaced
 
 
 def _any_room(service: ServiceRow, now: float) -> bool:
@@ -92,10 +97,7 @@
 
 
 def _plan(
-    state: State,
-    query: Query,
-    shards: Iterable[int],
-    avoid: dict[int, set[str]] | None = None,
+    state: State, query: Query, shards: Iterable[int]
 ) -> dict[str, list[int]]:
     choice = Choice(
         service=query.service,
@@ -103,7 +105,8 @@
         now=state.now,
         home=state.home,
         rng=state.rng,
-        avoid=query.tried if avoid is None else avoid,
+        avoid=query.tried,
+        paused=query.paused,
     )
     return choosers.get(query.cls.chooser)(choice, shards)
 
@@ -123,10 +126,14 @@
 
 def _wake_when_rested(state: State, query: Query) -> None:
     """Looks again when the next pausing searcher may be asked."""
+    searchers = query.service.searchers.values()
     pauses = [
-        searcher.backoff_until
-        for searcher in query.service.searchers.values()
-        if searcher.backoff_until > state.now
+        until
+        for until in (
+            *(searcher.backoff_until for searcher in searchers),
+            *query.paused.values(),
+        )
+        if until > state.now
     ]
     if pauses:
         state.tables.set_timer(
--- a/greengagemoor/query/tables.py
+++ b/greengagemoor/query/tables.py
@@ -44,6 +44,7 @@
     last_used: float = 0.0
     failures: int = 0
     sheds: int = 0
+    limit_cut_at: float = float("-inf")
     backoff_until: float = 0.0
     ejected_until: float = 0.0
     connections: int = 0
@@ -148,6 +149,8 @@
     tries: Counter = attrs.field(factory=Counter)
     tried: dict[int, set[str]] = attrs.field(factory=dict)
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    refusals: Counter = attrs.field(factory=Counter)
+    paused: dict[str, float] = attrs.field(factory=dict)
     attempts_made: int = 0
     restarts: int = 0
     may_have_run: bool = False
@@ -156,6 +159,10 @@
     flight_key: tuple | None = None
     began: float = 0.0
 
+    def is_resting(self, now: float) -> bool:
+        """Whether a searcher that refused it is being left alone."""
+        return any(until > now for until in self.paused.values())
+
     @property
     def coverage(self) -> float:
         """Share of the needed shards that are reflected."""
