--- a/greengagemoor/query/messages.py
+++ b/greengagemoor/query/messages.py
@@ -49,6 +49,8 @@
         deadline: absolute, on the decider's clock.
         key: targets one shard; None asks every shard.
         body: JSON text that the searchers get unread.
+        least_snapshot: oldest index version that the caller accepts, so that
+            it does not go back behind what it saw at any entry.
     """
 
     token: int
@@ -60,6 +62,7 @@
     repeatable: bool = True
     key: str | None = None
     body: str = ""
+    least_snapshot: int = -1
 
 
 @attrs.frozen
--- a/greengagemoor/query/requests.py
+++ b/greengagemoor/query/requests.py
@@ -102,7 +102,7 @@
     deadline: float,
 ) -> None:
     query = _new_query(state, request, service, cls, deadline)
-    if not _pin(state, query):
+    if not _pin(query):
         _refuse(state, request, Code.NOT_RUN_NO_REPLICA, service.query_time)
         return
     if _join(state, query):
@@ -145,8 +145,8 @@
     return query
 
 
-def _pin(state: State, query: Query) -> bool:
-    floor = state.floors.get(query.request.caller, query.request.service)
+def _pin(query: Query) -> bool:
+    floor = query.request.least_snapshot
     least = query.cls.least_coverage
     snapshot = pick_snapshot(query.service, least, floor)
     if snapshot is None:
@@ -254,7 +254,7 @@
 def start_claimed(state: State, query: Query, send_before: float) -> None:
     """Queues a query whose claim was granted."""
     query.send_before = send_before
-    if not _pin(state, query):
+    if not _pin(query):
         finish(state, query)
         return
     _queue(state, query)
@@ -368,7 +368,7 @@
     attempts.cancel_all(state, query)
     query.restarts += 1
     state.counters.restarts += 1
-    _pin(state, query)
+    _pin(query)
     query.reflected.clear()
     query.reasons.clear()
     query.tries.clear()
@@ -446,10 +446,6 @@
 def _reply(state: State, query: Query, waiter: Waiter, answer: Answer) -> None:
     state.tables.by_token.pop(waiter.token, None)
     query.waiters.pop(waiter.token, None)
-    if answer.results:
-        state.floors.raise_to(
-            waiter.caller, query.request.service, query.snapshot
-        )
     state.out.append(
         Reply(
             token=waiter.token,
--- a/greengagemoor/query/snapshots.py
+++ b/greengagemoor/query/snapshots.py
@@ -3,41 +3,14 @@
 from __future__ import annotations
 
 import hashlib
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from greengagemoor.backends import ServerState
 from greengagemoor.query.tables import Snapshot
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from greengagemoor.query.tables import Searcher, ServiceRow
 
-MAX_FLOORS = 10_000
-
-
-class SnapshotFloors:
-    """The newest snapshot each caller has seen, so that none goes back.
-
-    Bounded: the callers not heard from for longest are forgotten.
-    """
-
-    def __init__(self):
-        self._floors: OrderedDict[tuple[str, str], int] = OrderedDict()
-
-    def get(self, caller: str, service: str) -> int:
-        """Returns the caller's floor, -1 if none is known."""
-        return self._floors.get((caller, service), -1)
-
-    def raise_to(self, caller: str, service: str, version: int) -> None:
-        """Notes that the caller has seen ``version``."""
-        key = (caller, service)
-        self._floors[key] = max(version, self._floors.get(key, -1))
-        self._floors.move_to_end(key)
-        if len(self._floors) > MAX_FLOORS:
-            self._floors.popitem(last=False)
-
 
 def add_holder(service: ServiceRow, searcher: Searcher) -> None:
     """Enters what a searcher holds; only a ready one holds shards."""
@@ -83,24 +56,23 @@
 ) -> Snapshot | None:
     """Returns the snapshot for a new query, None if none has a holder.
 
-    Order of preference: meets the coverage rule, is not older than what the
-    caller has seen, is newest; without any that meets the rule, the one with
-    most coverage. A version whose searchers claim different shard counts is
-    never picked, since its coverage could not be told truly.
+    Order of preference: meets the coverage rule, then newest; without any
+    that meets the rule, the one with most coverage. A version below the
+    caller's floor is never picked, so that a caller who names what it last
+    saw does not go back. A version whose searchers claim different shard
+    counts is never picked, since its coverage could not be told truly.
     """
-    usable = [s for s in _usable(service) if s.holders]
+    usable = [
+        snapshot
+        for snapshot in service.snapshots.values()
+        if snapshot.holders
+        and not snapshot.in_conflict
+        and snapshot.version >= floor
+    ]
     meeting = [s for s in usable if s.coverage >= least_coverage]
     if meeting:
-        return max(meeting, key=lambda s: (s.version >= floor, s.version))
-    return max(
-        usable,
-        key=lambda s: (s.coverage, s.version >= floor, s.version),
-        default=None,
-    )
-
-
-def _usable(service: ServiceRow) -> Iterator[Snapshot]:
-    return (s for s in service.snapshots.values() if not s.in_conflict)
+        return max(meeting, key=lambda s: s.version)
+    return max(usable, key=lambda s: (s.coverage, s.version), default=None)
 
 
 def shards_for(snapshot: Snapshot, key: str | None) -> tuple[int, ...]:
--- a/greengagemoor/query/state.py
+++ b/greengagemoor/query/state.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from greengagemoor.query.snapshots import SnapshotFloors
 from greengagemoor.query.tables import AttemptKind, ServiceRow, Tables
 
 if TYPE_CHECKING:
@@ -45,7 +44,6 @@
     home: str
     rng: random.Random
     tables: Tables = attrs.field(factory=Tables)
-    floors: SnapshotFloors = attrs.field(factory=SnapshotFloors)
     counters: Counters = attrs.field(factory=Counters)
     document: Document | None = None
     document_version: int = 0
--- a/greengagemoor/shell/http_messages.py
+++ b/greengagemoor/shell/http_messages.py
@@ -35,6 +35,7 @@
         validator=attrs.validators.optional(at_most(MAX_KEY_CHARS)),
     )
     body: Any = None
+    least_snapshot: int = -1
 
 
 @attrs.frozen
--- a/greengagemoor/shell/routes.py
+++ b/greengagemoor/shell/routes.py
@@ -211,6 +211,7 @@
             repeatable=body.repeatable,
             key=body.key,
             body=text,
+            least_snapshot=body.least_snapshot,
         )
 
     wait = (body.deadline_s or MAX_WAIT_S) + ANSWER_GRACE_S
--- a/tests/test_query/test_admission.py
+++ b/tests/test_query/test_admission.py
@@ -83,15 +83,15 @@
         assert codes == {Code.NOT_RUN_OVERLOAD}
 
     def test_waiter_that_becomes_hopeless_is_told_before_its_deadline(self):
-        driver = Driver(searchers=ONE, share=1)
+        driver = Driver(searchers=ONE, share=2)
         fill(driver, 4, deadline_s=10)
-        hopeless = driver.ask(body='"late"', deadline_s=0.55)
+        hopeless = driver.ask(body='"late"', deadline_s=0.4)
         for _ in range(4):
             driver.answer(driver.under_way()[0], 0.12)
         answer = driver.reply(hopeless)
         assert answer.code == Code.NOT_RUN_DEADLINE
         assert answer.attempts == 0
-        assert driver.replies[hopeless].elapsed_s < 0.5
+        assert driver.replies[hopeless].elapsed_s < 0.4
 
 
 class TestClosing:
--- /dev/null
+++ b/tests/test_query/test_outcomes.py
@@ -0,0 +1,299 @@
+"""True coverage, own answers, and codes that follow from the history."""
+
+from __future__ import annotations
+
+import pytest
+
+from greengagemoor.codes import Code
+from greengagemoor.query.messages import (
+    CallerGone,
+    CancelAttempt,
+    Failure,
+    ShardResult,
+)
+from tests.fakes import DOCUMENT, of_kind
+from tests.test_query.helpers import Driver
+
+PAIR = {"a": (0, 1), "b": (0, 1)}
+NO_RETRY = DOCUMENT.replace(
+    '{"name": "read"}',
+    '{"name": "read", "max_attempts": 1, "max_refusals": 0,'
+    ' "least_coverage": 0.5}',
+)
+
+
+class TestCoverage:
+    """Shards reflected and missing, with a reason each."""
+
+    def test_shard_without_any_replica_is_counted_as_missing(self):
+        """A shard that nobody counts.
+
+        Symptom: an answer is called whole, and a region is not in it.
+        Sequence: the last searcher of a shard goes away.
+        Cause: shards are counted over the searchers that are there.
+        """
+        driver = Driver(NO_RETRY, {"a": (0,), "b": (1, 2)}, shard_count=3)
+        driver.announce("b", (1,), shard_count=3, sequence=2)
+        token = driver.ask()
+        driver.answer_all()
+        answer = driver.reply(token)
+        assert answer.code == Code.PARTIAL
+        assert answer.coverage.shards == 3
+        missing = answer.coverage.missing
+        assert [(m.shard, m.reason) for m in missing] == [
+            (2, "no_live_replica")
+        ]
+
+    def test_answer_after_the_cut_is_not_claimed(self):
+        driver = Driver(NO_RETRY, {"a": (0,), "b": (1,)})
+        token = driver.ask(deadline_s=0.1)
+        first, second = driver.under_way()
+        driver.answer(first)
+        driver.send(at=0.2)
+        answer = driver.reply(token)
+        assert answer.code == Code.PARTIAL
+        assert answer.coverage.missing[0].reason == "still_due"
+        driver.answer(second)
+        assert len(driver.replies) == 1
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"snapshot": 9},
+            {"request_id": "other"},
+            {"results": (ShardResult(7, '"x"'),)},
+            {"results": (ShardResult(0, '"x"'), ShardResult(0, '"y"'))},
+        ],
+        ids=["version", "request", "shard", "doubled shard"],
+    )
+    def test_answer_that_is_not_the_attempts_own(self, changes):
+        """Another request's results.
+
+        Symptom: a caller reads the answer to a question it did not ask.
+        Sequence: a connection is used again while an old answer is due; the
+        old answer is read as the new one's.
+        Cause: the answer's echo is not checked.
+        """
+        driver = Driver(NO_RETRY, {"a": (0, 1)})
+        token = driver.ask()
+        driver.answer(driver.under_way()[0], **changes)
+        answer = driver.reply(token)
+        assert answer.code == Code.UNKNOWN
+        assert answer.results == ()
+
+    def test_short_answer_is_asked_again_elsewhere(self):
+        driver = Driver(searchers=PAIR)
+        token = driver.ask()
+        first = driver.under_way()[0]
+        one = ShardResult(0, f'"{first.server}/v1/0"')
+        driver.answer(first, results=(one,))
+        (retry,) = driver.under_way()
+        assert retry.shards == (1,)
+        assert retry.server != first.server
+        driver.answer_all()
+        assert driver.reply(token).code == Code.WHOLE
+
+    def test_below_least_coverage_withholds_results(self):
+        driver = Driver(searchers={"a": (0,)})
+        token = driver.ask()
+        driver.answer_all()
+        answer = driver.reply(token)
+        assert answer.code == Code.BELOW_COVERAGE
+        assert answer.results == ()
+        assert answer.coverage.reflected == (0,)
+
+
+class TestOwnAnswer:
+    """Each caller gets the answer to its own request."""
+
+    def test_equal_request_ids_of_two_callers(self):
+        driver = Driver(searchers=PAIR)
+        mine = driver.ask("atlas", request_id="same", body='"mine"')
+        theirs = driver.ask("rival", request_id="same", body='"theirs"')
+        by_caller = {a.caller: a for a in driver.under_way()}
+        value = ShardResult(0, '"a"'), ShardResult(1, '"b"')
+        driver.answer(by_caller["rival"], results=value)
+        assert mine not in driver.replies
+        driver.answer(by_caller["atlas"])
+        assert driver.reply(theirs).results == value
+        assert driver.reply(mine).results != value
+
+    def test_rivals_do_not_share_an_answer(self):
+        """An answer that crosses between rivals.
+
+        Symptom: one firm's attempt count shows in another's answer.
+        Sequence: two callers ask the same thing within milliseconds.
+        Cause: equal queries are joined whoever asks.
+        """
+        driver = Driver(searchers=PAIR)
+        driver.ask("atlas", body='"q"')
+        driver.ask("rival", body='"q"')
+        assert {a.caller for a in driver.under_way()} == {"atlas", "rival"}
+
+    def test_equal_queries_of_one_caller_join(self):
+        driver = Driver(searchers=PAIR)
+        tokens = [driver.ask(body='"q"') for _ in range(5)]
+        assert len(driver.under_way()) == 1
+        driver.answer_all()
+        for token in tokens:
+            answer = driver.reply(token)
+            assert answer.code == Code.WHOLE
+            assert answer.request_id == f"r{token}"
+
+    def test_class_may_let_callers_share(self):
+        shared = DOCUMENT.replace(
+            '{"name": "read"}', '{"name": "read", "share_answers": true}'
+        )
+        driver = Driver(shared, PAIR)
+        driver.ask("atlas", body='"q"')
+        driver.ask("rival", body='"q"')
+        assert len(driver.under_way()) == 1
+
+    def test_a_joined_waiter_is_answered_at_its_own_deadline(self):
+        driver = Driver(searchers=PAIR)
+        patient = driver.ask(body='"q"', deadline_s=5.0)
+        hasty = driver.ask(body='"q"', deadline_s=0.1)
+        driver.send(at=0.1)
+        assert driver.reply(hasty).code == Code.UNKNOWN
+        assert patient not in driver.replies
+        driver.answer_all()
+        assert driver.reply(patient).code == Code.WHOLE
+
+    def test_late_and_doubled_answers_change_nothing(self):
+        driver = Driver(searchers={"a": (0, 1)})
+        token = driver.ask()
+        attempt = driver.under_way()[0]
+        driver.answer(attempt)
+        driver.answer(attempt)
+        assert driver.reply(token).code == Code.WHOLE
+        assert driver.decider.state.counters.late_answers == 1
+
+    def test_caller_that_hangs_up_ends_only_its_own_wait(self):
+        driver = Driver(searchers=PAIR)
+        gone = driver.ask(body='"q"')
+        stays = driver.ask(body='"q"')
+        driver.send(CallerGone(gone))
+        driver.answer_all()
+        assert gone not in driver.replies
+        assert driver.reply(stays).code == Code.WHOLE
+
+
+class TestNotRun:
+    """Not run is said only when it is true of the whole history."""
+
+    def test_refused_by_all_is_not_run(self):
+        driver = Driver(NO_RETRY, {"a": (0, 1)})
+        token = driver.ask()
+        driver.fail(driver.under_way()[0], Failure.SHED)
+        answer = driver.reply(token)
+        assert answer.code == Code.NOT_RUN_REFUSED
+        assert answer.retry_after_s > 0
+
+    def test_timeout_then_refusals_is_not_not_run(self):
+        """Not run, said after a timeout.
+
+        Symptom: a caller books again after "not run", and two crews come.
+        Sequence: the first attempt times out, the retries are refused.
+        Cause: the code follows from the last attempt only.
+        """
+        driver = Driver(searchers=PAIR)
+        token = driver.ask()
+        driver.fail(driver.under_way()[0], Failure.TIMEOUT)
+        while driver.under_way():
+            driver.fail(driver.under_way()[0], Failure.DRAINING)
+        assert driver.reply(token).code == Code.UNKNOWN
+
+    def test_cancelled_hedge_is_not_not_run(self):
+        driver = Driver(NO_RETRY, {"a": (0, 1)})
+        token = driver.ask()
+        driver.fail(driver.under_way()[0], Failure.CANCELLED)
+        assert driver.reply(token).code == Code.UNKNOWN
+
+    def test_attempt_still_due_at_the_deadline_is_not_not_run(self):
+        driver = Driver(searchers={"a": (0, 1)})
+        token = driver.ask(deadline_s=0.2)
+        driver.send(at=0.2)
+        assert driver.reply(token).code == Code.UNKNOWN
+        assert of_kind(driver.out, CancelAttempt)
+
+    def test_backend_error_is_failed(self):
+        driver = Driver(NO_RETRY, {"a": (0, 1)})
+        token = driver.ask()
+        driver.fail(driver.under_way()[0], Failure.ERROR)
+        assert driver.reply(token).code == Code.FAILED
+
+
+class TestGivenUp:
+    """A request given up on gets its final answer at once."""
+
+    def test_final_answer_does_not_wait_for_the_deadline(self):
+        """An answer held back.
+
+        Symptom: callers wait seconds for a refusal that was certain at once.
+        Sequence: every searcher refuses, no attempt is left; the deadline is
+        far away.
+        Cause: the answer is sent when the deadline comes.
+        """
+        driver = Driver(NO_RETRY, {"a": (0, 1)})
+        token = driver.ask(deadline_s=30.0)
+        driver.fail(driver.under_way()[0], Failure.DRAINING)
+        assert driver.replies[token].elapsed_s == 0
+        assert driver.reply(token).retry_after_s > 0
+
+    def test_every_refusal_says_when_to_come_back(self):
+        driver = Driver()
+        tokens = [driver.ask(), driver.ask(service="none")]
+        for token in tokens:
+            assert driver.reply(token).retry_after_s > 0
+
+
+class TestExtraWork:
+    """Hedges and retries within budgets, and off under overload."""
+
+    def test_hedge_asks_only_what_is_missing(self):
+        driver = Driver(searchers=PAIR)
+        token = driver.ask()
+        driver.send(at=0.06)
+        first, hedge = driver.under_way()
+        assert {first.server, hedge.server} == {"a", "b"}
+        driver.answer(hedge)
+        assert driver.reply(token).code == Code.WHOLE
+        cancelled = of_kind(driver.out, CancelAttempt)
+        assert [c.attempt_id for c in cancelled] == [first.attempt_id]
+
+    def test_no_hedge_while_others_wait_for_room(self):
+        driver = Driver(searchers=PAIR, share=1)
+        for number in range(6):
+            driver.ask(body=f'"{number}"')
+        driver.send(at=0.06)
+        assert driver.decider.state.counters.hedge_shards == 0
+
+    def test_cancelled_attempt_keeps_its_connection_counted(self):
+        """A cap that is passed by cancelled work.
+
+        Symptom: a searcher refuses connections although limits are kept.
+        Sequence: hedged attempts are cancelled; their answers are still due
+        on their connections; new attempts open more.
+        Cause: a cancelled attempt counts as ended.
+        """
+        driver = Driver(searchers=PAIR, share=1)
+        driver.ask()
+        driver.send(at=0.06)
+        first, hedge = driver.under_way()
+        driver.answer(hedge)
+        driver.ask(body='"next"')
+        assert [a.attempt_id for a in driver.under_way(first.server)] == [
+            first.attempt_id
+        ]
+
+    def test_retries_stay_within_the_budget(self):
+        driver = Driver(searchers=PAIR)
+        for number in range(60):
+            driver.ask(body=f'"{number}"')
+            for attempt in driver.under_way():
+                driver.fail(attempt, Failure.BROKEN)
+            while driver.under_way():
+                driver.fail(driver.under_way()[0], Failure.BROKEN)
+        counters = driver.decider.state.counters
+        allowed = 20 + 2 + 0.1 * counters.first_shards
+        assert counters.retry_shards <= allowed
