--- a/greengagemoor/control/messages.py
+++ b/greengagemoor/control/messages.py
@@ -334,10 +334,15 @@
 
 @attrs.frozen
 class Received:
-    """A payload came from another process of ours."""
+    """A payload came from another process of ours.
+
+    Attributes:
+        address: where the sender takes in messages, if it said so.
+    """
 
     sender: str
     payload: object
+    address: str = ""
 
 
 @attrs.frozen
--- a/greengagemoor/node.py
+++ b/greengagemoor/node.py
@@ -29,6 +29,7 @@
 OUTCOME_WAIT_S = 60.0
 READ_WAIT_S = 2.0
 READ_AGAIN_S = 0.25
+MOST_HEARD_FROM = 4096
 CONTROL_ROLE = "control"
 
 
@@ -82,6 +83,7 @@
         self.client = ControlClient(control_targets, rng)
         self._first_targets = set(control_targets)
         self._claims: dict[int, str] = {}
+        self._heard_from: dict[str, str] = {}
         self._out: list = []
         self._now = 0.0
         self._read_at: float | None = None
@@ -136,9 +138,23 @@
         return min(wake for wake in wakes if wake is not None)
 
     def _find_control(self) -> None:
-        rows = self.membership.state.table.live_instances.values()
-        found = {row.name for row in rows if CONTROL_ROLE in row.roles}
-        self.client.targets = sorted(found | self._first_targets)
+        """Asks the control instances of the settings and the table.
+
+        Those held for gone are left out: a message that one of them might
+        still get would turn every refusal into "may have been accepted".
+        """
+        table = self.membership.state.table
+        found = {
+            row.name
+            for row in table.live_instances.values()
+            if CONTROL_ROLE in row.roles
+        }
+        gone = {
+            name
+            for name in self._first_targets
+            if f"i:{name}" in table.gone_since
+        }
+        self.client.targets = sorted((found | self._first_targets) - gone)
 
     def _read_when_due(self, inboxes: _Inboxes) -> None:
         """Reads from a quorum after a start, before callers are served.
@@ -159,6 +175,7 @@
 
     def _route_in(self, msg: object, inboxes: _Inboxes) -> None:
         if isinstance(msg, Received):
+            self._note_address(msg)
             inboxes.for_payload(msg.payload).append(msg)
         elif isinstance(msg, StartUp):
             self._read_at = self._now
@@ -203,12 +220,23 @@
         if msg.address:
             self._out.append(msg)
 
+    def _note_address(self, msg: Received) -> None:
+        """Remembers where an unknown sender can be answered.
+
+        A process that spent its news while it was cut off is in nobody's
+        table; without an answer to its probes it would never get into one.
+        """
+        if msg.address:
+            self._heard_from[msg.sender] = msg.address
+            while len(self._heard_from) > MOST_HEARD_FROM:
+                self._heard_from.pop(next(iter(self._heard_from)))
+
     def _address_of(self, name: str) -> str:
         state = self.membership.state
         row = state.table.rows.get(f"i:{name}")
         if isinstance(row, InstanceRow):
             return row.peer_address
-        return state.seeds.get(name, "")
+        return self._heard_from.get(name) or state.seeds.get(name, "")
 
     def _ask_claim(self, msg: query.ClaimWanted) -> Ask:
         me = self.membership.state.me
--- a/greengagemoor/shell/peers.py
+++ b/greengagemoor/shell/peers.py
@@ -58,7 +58,7 @@
             log.event("peer_message_refused", level="WARNING", reason=exc)
             payloads = []
         for payload in payloads:
-            self._put(Received(batch.sender, payload))
+            self._put(Received(batch.sender, payload, batch.address))
         await stream.send_message(peers_pb2.Receipt())
 
 
@@ -84,6 +84,7 @@
         self, instance: str, address: str, put: Callable[[object], None]
     ):
         self._instance = instance
+        self._address = address
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._put = put
@@ -154,7 +155,7 @@
         return bool(link.queue)
 
     async def _deliver(self, link: _Link, payloads: list[object]) -> None:
-        batch = codec.to_batch(self._instance, payloads)
+        batch = codec.to_batch(self._instance, self._address, payloads)
         self.sent_bytes += batch.ByteSize()
         self.sent_batches += 1
         if link.channel is None:
--- a/greengagemoor/wire/codec.py
+++ b/greengagemoor/wire/codec.py
@@ -165,9 +165,9 @@
     return _build(getattr(message, name), classes[name])
 
 
-def to_batch(sender: str, payloads: Iterable[Any]) -> pb.Batch:
+def to_batch(sender: str, address: str, payloads: Iterable[Any]) -> pb.Batch:
     """Returns the batch that carries payloads to another process."""
-    batch = pb.Batch(sender=sender)
+    batch = pb.Batch(sender=sender, address=address)
     for payload in payloads:
         _fill_choice(batch.envelopes.add(), payload)
     return batch
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -19,9 +19,11 @@
     Recovered,
     Send,
 )
+from greengagemoor.control.state import Timing as ControlTiming
 from greengagemoor.membership.decider import MembershipDecider
 from greengagemoor.membership.messages import Ack, Probe
 from greengagemoor.membership.rows import InstanceRow, InstanceState
+from greengagemoor.membership.state import Timing as MembershipTiming
 from greengagemoor.node import Node, StartUp
 from greengagemoor.query import messages as q
 from greengagemoor.query.decider import QueryDecider
@@ -108,7 +110,14 @@
     decides anything: it only carries messages.
     """
 
-    def __init__(self, seed: int = 1):
+    def __init__(self, seed: int = 1, pace: float = 1.0):
+        """Starts empty.
+
+        Args:
+            seed: of drops.
+            pace: factor on all intervals; above 1 for hours of fake time.
+        """
+        self.pace = pace
         self.now = 0.0
         self.rng = random.Random(seed)
         self.nodes: dict[str, Node] = {}
@@ -116,12 +125,15 @@
         self.frozen: dict[str, list] = {}
         self.cut: set[tuple[str, str]] = set()
         self.drop_share = 0.0
+        self.double_share = 0.0
+        self.jitter = 0.0
         self.out: list[tuple[float, str, object]] = []
         self.attempts: list[tuple[str, q.StartAttempt]] = []
         self.searchers: dict[str, object] = {}
         self._events: list[tuple[float, int, str, int, object]] = []
         self._ids = count()
         self._lives: dict[str, int] = {}
+        self._wakes: dict[str, float] = {}
         self._configs: dict[str, dict] = {}
         self._identities = count(1)
 
@@ -136,6 +148,7 @@
         """Starts or restarts a node."""
         cfg = self._configs[name]
         self._lives[name] = self._lives.get(name, 0) + 1
+        self._wakes.pop(name, None)
         group = {n: f"{n}:1" for n in cfg["group"]}
         me = InstanceRow(
             name=name,
@@ -160,11 +173,14 @@
                 f"{name}:1",
                 others,
                 rng,
+                ControlTiming(0.15 * self.pace, 1.0 * self.pace),
                 new_group=True,
             )
         entry = "entry" in cfg["roles"]
         self.nodes[name] = Node(
-            MembershipDecider(me, group, rng),
+            MembershipDecider(
+                me, group, rng, MembershipTiming(interval=0.5 * self.pace)
+            ),
             rng,
             query_decider=QueryDecider(cfg["dc"], rng) if entry else None,
             control_decider=control,
@@ -192,6 +208,7 @@
         """Lets a frozen node go on."""
         for msg in self.frozen.pop(name):
             self.put(name, msg)
+        self._wakes[name] = self.now
         self.put(name)
 
     def cut_off(self, name: str, *, one_way: bool = False) -> None:
@@ -216,8 +233,13 @@
         while self._events and self._events[0][0] <= until:
             at, _, name, life, msgs = heapq.heappop(self._events)
             self.now = max(self.now, at)
-            if life == self._lives.get(name) and name in self.nodes:
-                self._deliver(name, msgs)
+            if life != self._lives.get(name) or name not in self.nodes:
+                continue
+            if not msgs:
+                if self._wakes.get(name) != at:
+                    continue
+                del self._wakes[name]
+            self._deliver(name, msgs)
         self.now = until
 
     def run_until(self, condition, most: float = 60.0) -> float:
@@ -237,14 +259,10 @@
         for msg in node.step(self.now, msgs):
             self._act(name, msg)
         wake = max(node.next_wake(), self.now + 0.0005)
-        if not msgs or wake < self._next_event_of(name):
-            self.put(name, after=wake - self.now)
-
-    def _next_event_of(self, name: str) -> float:
-        return min(
-            (e[0] for e in self._events if e[2] == name and not e[4]),
-            default=float("inf"),
-        )
+        if wake < self._wakes.get(name, float("inf")):
+            self._wakes[name] = wake
+            event = (wake, next(self._ids), name, self._lives[name], ())
+            heapq.heappush(self._events, event)
 
     def _act(self, name: str, msg: object) -> None:
         self.out.append((self.now, name, msg))
@@ -252,8 +270,7 @@
             lost = self.rng.random() < self.drop_share
             reachable = msg.to in self._lives and (name, msg.to) not in self.cut
             if reachable and not lost:
-                received = Received(name, msg.payload)
-                self.put(msg.to, received, after=NETWORK_S)
+                self._carry(name, msg)
         elif isinstance(msg, Persist):
             self.put(name, _Sync(msg), after=SYNC_S)
         elif isinstance(msg, q.StartAttempt):
@@ -270,6 +287,13 @@
         self.disks[name].synced.append(msg.operation)
         return Persisted(msg.operation.op)
 
+    def _carry(self, name: str, msg: Send) -> None:
+        copies = 1 + (self.rng.random() < self.double_share)
+        for _ in range(copies):
+            delay = NETWORK_S + self.jitter * self.rng.random()
+            received = Received(name, msg.payload, f"{name}:1")
+            self.put(msg.to, received, after=delay)
+
     def replies(self, kind: type = q.Reply) -> list:
         """Returns all messages of a kind sent so far."""
         return of_kind([msg for _, _, msg in self.out], kind)
--- /dev/null
+++ b/tests/test_control/helpers.py
@@ -0,0 +1,90 @@
+"""A control group in a fake fleet, and what must hold of it."""
+
+from __future__ import annotations
+
+import json
+
+from greengagemoor.codes import Code
+from greengagemoor.control.client import Ask, Done
+from greengagemoor.control.messages import ApplyDocument, OpKind
+from tests.fakes import FakeFleet
+
+GROUP = ("c1", "c2", "c3")
+
+
+def start_group(names=GROUP, seed: int = 1, pace: float = 1.0) -> FakeFleet:
+    """Returns a fleet whose control group is whole and has a leader."""
+    fleet = FakeFleet(seed, pace)
+    for name in names:
+        fleet.add(name, ("control",), group=names)
+    fleet.run_until(lambda: is_whole(fleet, names))
+    return fleet
+
+
+def is_whole(fleet: FakeFleet, names=GROUP) -> bool:
+    """Whether the leader counts all instances as live voters, and no other."""
+    leader = fleet.leader()
+    if not leader:
+        return False
+    rows = fleet.nodes[leader].control.status().members
+    voters = sorted(row.member_id for row in rows if row.voter and row.alive)
+    if set(names) - set(fleet.disks):
+        return False
+    wanted = sorted(f"{name}#{fleet.disks[name].identity}" for name in names)
+    return voters == wanted and len(rows) == len(names)
+
+
+def document(number: int) -> str:
+    """Returns a valid document that differs by its number."""
+    return json.dumps({"entries": ["e1"], "silent_after_s": 1 + number})
+
+
+class Operator:
+    """Sends applies and reads, and keeps the results."""
+
+    def __init__(self, fleet: FakeFleet):
+        self.fleet = fleet
+
+    def apply(
+        self, at: str, apply_id: str, replaces: int, number: int, wait=5.0
+    ) -> str:
+        """Sends an apply; its result is under the returned token."""
+        token = f"{apply_id}@{at}/{self.fleet.now}"
+        command = ApplyDocument(apply_id, replaces, document(number), 0.0)
+        self._ask(at, Ask(token, OpKind.APPLY, self.fleet.now + wait, command))
+        return token
+
+    def read(self, at: str, wait=5.0) -> str:
+        """Sends a read; its result is under the returned token."""
+        token = f"read@{at}/{self.fleet.now}"
+        self._ask(at, Ask(token, OpKind.READ, self.fleet.now + wait))
+        return token
+
+    def _ask(self, at: str, ask: Ask) -> None:
+        self.fleet.put(at, ask)
+
+    def result(self, token: str) -> Done | None:
+        """Returns what a token got, None so far."""
+        found = [d for d in self.fleet.replies(Done) if d.token == token]
+        assert len(found) <= 1
+        return found[0] if found else None
+
+    def wait(self, token: str) -> Done:
+        """Runs until a token has its result."""
+        self.fleet.run_until(lambda: self.result(token))
+        return self.result(token)
+
+    def accept(self, at: str, apply_id: str, replaces: int, number: int):
+        """Applies and expects it to be accepted."""
+        done = self.wait(self.apply(at, apply_id, replaces, number))
+        assert done.reply.code == Code.ACCEPTED, done
+        return done
+
+
+def versions(fleet: FakeFleet) -> dict[str, int]:
+    """Returns the document version of each live control machine."""
+    return {
+        name: node.control.state.machine.documents.version
+        for name, node in fleet.nodes.items()
+        if node.control
+    }
