--- a/greengagemoor/membership/announcements.py
+++ b/greengagemoor/membership/announcements.py
@@ -31,13 +31,26 @@
         state.counters.refused += 1
         _reply(state, msg, *fault)
         return
-    state.take_row(row)
-    mine = state.me.name in server.announced_to
-    if mine and server.state is not ServerState.GONE:
-        wards.heard(state, row.key, msg.renewal)
+    heard = _note_life(state, row, msg.renewal)
+    if kept is None or kept.server.order != server.order:
+        state.take_row(row)
+    elif kept.lost and heard:
+        state.take_row(attrs.evolve(kept, watch=kept.watch + 1, lost=False))
+    elif kept.lost:
+        stale = "a copy of an old announcement of a lost server"
+        _reply(state, msg, Code.ANNOUNCEMENT_STALE, stale)
+        return
     _reply(state, msg, Code.ANNOUNCED, "")
 
 
+def _note_life(state: State, row: ServerRow, renewal: int) -> bool:
+    """Notes a sign of life where this process watches; returns if it is new."""
+    mine = state.me.name in row.server.announced_to
+    if not mine or row.server.state is ServerState.GONE:
+        return False
+    return wards.heard(state, row.key, renewal)
+
+
 def _coarse(server: BackendServer) -> BackendServer:
     """Rounds the reported load, which is a hint and changes all the time."""
     load = round(server.load * LOAD_STEPS) / LOAD_STEPS
@@ -66,7 +79,7 @@
     """Whether an announcement is older, or other words at the same order.
 
     A plain renewal repeats the row and is welcome. A load alone may change
-    without a new sequence: it is a hint and not spread on its own.
+    without a new sequence: it is a hint, and not worth a message to all.
     """
     if server.order != kept.server.order:
         return server.order < kept.server.order
@@ -104,4 +117,4 @@
     same = row.server.incarnation == msg.incarnation
     if same and row.server.state in opens:
         drained = attrs.evolve(row.server, state=ServerState.DRAINING)
-        state.take_row(ServerRow(drained))
+        state.take_row(attrs.evolve(row, server=drained))
--- a/greengagemoor/membership/decider.py
+++ b/greengagemoor/membership/decider.py
@@ -68,7 +68,7 @@
             gossip.run_round(state)
         liveness.check_probes(state)
         liveness.check_suspects(state)
-        wards.check(state)
+        view.hide(state, wards.check(state))
         documents.check_freshness(state)
         self._set_own_state()
         view.note_changes(state)
--- a/greengagemoor/membership/gossip.py
+++ b/greengagemoor/membership/gossip.py
@@ -45,7 +45,8 @@
         probe(state, target)
     if not target or state.counters.rounds % SEED_EVERY == 0:
         _probe_lost(state)
-    state.table.forget_gone(state.now - state.timing.tombstone)
+    for key in state.table.forget_gone(state.now - state.timing.tombstone):
+        state.wards.pop(key, None)
 
 
 def _pick_target(state: State) -> str | None:
--- a/greengagemoor/membership/messages.py
+++ b/greengagemoor/membership/messages.py
@@ -99,12 +99,13 @@
     key: str
     incarnation: int
     sequence: int
+    watch: int
     rank: int
 
     @property
-    def order(self) -> tuple[int, int, int]:
+    def order(self) -> tuple[int, int, int, int]:
         """Comparable with ``Row.order``."""
-        return (self.incarnation, self.sequence, self.rank)
+        return (self.incarnation, self.sequence, self.watch, self.rank)
 
 
 @attrs.frozen
--- a/greengagemoor/membership/rows.py
+++ b/greengagemoor/membership/rows.py
@@ -51,7 +51,7 @@
         return f"i:{self.name}"
 
     @property
-    def order(self) -> tuple[int, int, int]:
+    def order(self) -> tuple[int, int, int, int]:
         """Later words about the same instance compare greater.
 
         At an equal sequence, suspicion wins over life and an end over both:
@@ -60,6 +60,7 @@
         return (
             self.incarnation,
             self.sequence,
+            0,
             _INSTANCE_RANK[self.state],
         )
 
@@ -71,9 +72,18 @@
 
 @attrs.frozen
 class ServerRow:
-    """One backend server."""
+    """One backend server.
+
+    Attributes:
+        server: its own last words.
+        watch: raised by whoever watches over it and overrules another watcher;
+            a new word of the server itself overrules all of them.
+        lost: whether its watchers no longer hear it.
+    """
 
     server: BackendServer
+    watch: int = 0
+    lost: bool = False
 
     @property
     def key(self) -> str:
@@ -81,18 +91,19 @@
         return server_key(self.server.service, self.server.name)
 
     @property
-    def order(self) -> tuple[int, int, int]:
+    def order(self) -> tuple[int, int, int, int]:
         """Later words about the same server compare greater.
 
         At an equal sequence, draining wins over ready and gone over both, so
         that a doubled or late announcement can't bring a server back.
         """
-        return (*self.server.order, _SERVER_RANK[self.server.state])
+        rank = 2 * _SERVER_RANK[self.server.state] + self.lost
+        return (*self.server.order, self.watch, rank)
 
     @property
     def is_gone(self) -> bool:
         """Whether the row is only kept so that the server stays gone."""
-        return self.server.state is ServerState.GONE
+        return self.lost or self.server.state is ServerState.GONE
 
 
 Row = InstanceRow | ServerRow
--- a/greengagemoor/membership/state.py
+++ b/greengagemoor/membership/state.py
@@ -39,10 +39,17 @@
 
 @attrs.define
 class Ward:
-    """A backend server whose silence this process watches for."""
+    """A backend server whose silence this process watches for.
+
+    Attributes:
+        renewal: newest one heard; kept after a loss, so that a copy of an old
+            announcement does not bring the server back.
+        timed: whether a timer is set; none is for a lost server.
+    """
 
     heard_at: float
     renewal: int = -1
+    timed: bool = False
     asked_at: float | None = None
 
 
@@ -80,6 +87,8 @@
     # Liveness.
     suspects: dict[str, float] = attrs.field(factory=dict)
     wards: dict[str, Ward] = attrs.field(factory=dict)
+    orphans: dict[str, float] = attrs.field(factory=dict)
+    hidden: set[str] = attrs.field(factory=set)
     ward_timers: list[tuple[float, str]] = attrs.field(factory=list)
     # Document.
     document: Document | None = None
--- a/greengagemoor/membership/table.py
+++ b/greengagemoor/membership/table.py
@@ -91,12 +91,13 @@
         self._digests[index] ^= digest & _DIGEST_BITS
         self.root ^= digest
 
-    def forget_gone(self, before: float) -> None:
+    def forget_gone(self, before: float) -> list[str]:
         """Forgets rows that have been gone since before a time."""
         old = [k for k, since in self.gone_since.items() if since < before]
         for key in old:
             del self.gone_since[key]
             del self.rows[key]
+        return old
 
     def pack_digests(self) -> bytes:
         """Returns the digests of all buckets, four bytes each."""
@@ -151,5 +152,5 @@
     opens = row.server.state in (ServerState.READY, ServerState.WARMING)
     if drained and same and opens:
         server = attrs.evolve(row.server, state=ServerState.DRAINING)
-        return ServerRow(server)
+        return attrs.evolve(row, server=server)
     return row
--- a/greengagemoor/membership/view.py
+++ b/greengagemoor/membership/view.py
@@ -34,8 +34,11 @@
         return
     if row.state is InstanceState.SUSPECT:
         liveness.watch_suspect(state, row)
-    elif row.state is InstanceState.GONE:
-        wards.adopt_orphans(state, row.name)
+        return
+    was_hidden = set(state.hidden)
+    wards.note_instance(state, row.name)
+    for key in was_hidden - state.hidden:
+        show(state, state.table.rows[key])
 
 
 def show(state: State, row: ServerRow) -> None:
@@ -58,7 +61,7 @@
 ) -> tuple[BackendServer, int] | None:
     """Returns the server within the document's limits, and the own share."""
     allowed = state.allowed.get(row.server.service, {}).get(row.server.name)
-    if allowed is None or row.is_gone:
+    if allowed is None or row.is_gone or row.key in state.hidden:
         return None
     server = attrs.evolve(
         row.server,
@@ -81,6 +84,12 @@
     return server.connection_cap // state.document.connection_places
 
 
+def hide(state: State, keys: list[str]) -> None:
+    """Tells the query decider of servers that are now hidden here."""
+    for key in keys:
+        show(state, state.table.rows[key])
+
+
 def show_all(state: State) -> None:
     """Looks at every server again, after a change of the document."""
     rows = [
--- a/greengagemoor/membership/wards.py
+++ b/greengagemoor/membership/wards.py
@@ -9,7 +9,7 @@
 
 from greengagemoor.backends import ServerState
 from greengagemoor.membership.messages import HeardQuery, HeardReply
-from greengagemoor.membership.rows import ServerRow, rendezvous_weight
+from greengagemoor.membership.rows import ServerRow
 from greengagemoor.membership.state import Ward
 
 if TYPE_CHECKING:
@@ -28,19 +28,21 @@
 def heard(state: State, key: str, renewal: int) -> bool:
     """Notes a sign of life; a copy of an old renewal is none."""
     ward = state.wards.get(key)
-    if ward is None:
-        ward = _watch(state, key)
-    elif renewal <= ward.renewal:
+    if ward is not None and renewal <= ward.renewal:
         return False
-    ward.heard_at = state.now
+    ward = _watch(state, key)
     ward.renewal = renewal
-    ward.asked_at = None
     return True
 
 
 def _watch(state: State, key: str) -> Ward:
-    ward = state.wards[key] = Ward(heard_at=state.now)
-    heapq.heappush(state.ward_timers, (state.now + silent_after(state), key))
+    ward = state.wards.setdefault(key, Ward(heard_at=state.now))
+    ward.heard_at = state.now
+    ward.asked_at = None
+    if not ward.timed:
+        ward.timed = True
+        due = state.now + silent_after(state)
+        heapq.heappush(state.ward_timers, (due, key))
     return ward
 
 
@@ -50,58 +52,103 @@
     A process that restarted has forgotten whom it watched; the rows that it
     learns again tell it.
     """
-    mine = state.me.name in row.server.announced_to and not row.is_gone
-    if mine and row.key not in state.wards:
-        _watch(state, row.key)
-    elif not mine:
+    mine = state.me.name in row.server.announced_to
+    ward = state.wards.get(row.key)
+    if not mine or row.server.state is ServerState.GONE:
         state.wards.pop(row.key, None)
+    elif row.lost and ward is not None and _heard_lately(state, ward):
+        _refute(state, row)
+    elif not row.lost and (ward is None or not ward.timed):
+        _watch(state, row.key)
+    note_guardians(state, row)
 
 
-def adopt_orphans(state: State, lost: str) -> None:
-    """Watches over servers whose guardians are all gone, if it falls to us.
+def _refute(state: State, row: ServerRow) -> None:
+    """Overrules a watcher that no longer hears a server that we hear.
 
-    A rack that takes servers and their guardians together leaves nobody to
-    notice; one would see attempts go on to servers that are off.
+    After a cut, the side that lost sight of a server brings its word along;
+    without this every server of the other side would be dropped at the moment
+    the cut heals.
     """
-    live = state.table.live_instances
-    for key in list(state.table.guarded.get(lost, ())):
-        row = state.table.rows[key]
-        if any(name in live for name in row.server.announced_to):
-            continue
-        heir = max(live, key=lambda name: rendezvous_weight(key, name))
-        if heir == state.me.name and key not in state.wards:
-            _watch(state, key)
+    state.take_row(attrs.evolve(row, watch=row.watch + 1, lost=False))
+
 
+def _heard_lately(state: State, ward: Ward) -> bool:
+    recent = state.now - ward.heard_at < silent_after(state)
+    return ward.renewal >= 0 and recent
 
-def check(state: State) -> None:
-    """Drops servers that stayed silent for too long."""
+
+def note_instance(state: State, name: str) -> None:
+    """Looks at the servers an instance guards when it comes or goes."""
+    for key in list(state.table.guarded.get(name, ())):
+        note_guardians(state, state.table.rows[key])
+
+
+def note_guardians(state: State, row: ServerRow) -> None:
+    """Hides a server here when none of its guardians is left in view.
+
+    A rack that takes servers and their guardians together leaves nobody to
+    notice; one would see attempts go on to servers that are off. What is
+    hidden is a matter of this process alone: a process that is cut off sees
+    all guardians go, and its view must not spread when the cut heals.
+    """
+    live = state.table.live_instances
+    guardians = row.server.announced_to
+    watched = not guardians or any(name in live for name in guardians)
+    if watched or row.is_gone:
+        state.orphans.pop(row.key, None)
+        state.hidden.discard(row.key)
+    elif row.key not in state.orphans and row.key not in state.hidden:
+        due = state.now + silent_after(state)
+        state.orphans[row.key] = due
+        heapq.heappush(state.ward_timers, (due, row.key))
+
+
+def check(state: State) -> list[str]:
+    """Looks at what is due; returns the keys of servers newly hidden."""
     timers = state.ward_timers
+    newly_hidden = []
     while timers and timers[0][0] <= state.now:
         _, key = heapq.heappop(timers)
+        if key in state.orphans and state.orphans[key] <= state.now:
+            del state.orphans[key]
+            state.hidden.add(key)
+            newly_hidden.append(key)
         ward = state.wards.get(key)
-        if ward is not None:
-            due = _check_ward(state, key, ward)
-            if due is not None:
-                heapq.heappush(timers, (due, key))
+        due = _check_ward(state, key, ward) if ward is not None else None
+        if due is not None:
+            heapq.heappush(timers, (due, key))
+        elif ward is not None:
+            ward.timed = False
+    return newly_hidden
 
 
 def _check_ward(state: State, key: str, ward: Ward) -> float | None:
-    """Returns when to look again, None when the server was dropped."""
+    """Returns when to look again, None when watching is over."""
     due = ward.heard_at + silent_after(state)
     if state.now < due:
         return due
     wait = ASK_ROUNDS * state.timing.interval
     if ward.asked_at is None:
+        ward.asked_at = state.now
         others = _other_guardians(state, key)
+        for name in others:
+            state.send(name, HeardQuery(key))
         if others:
-            ward.asked_at = state.now
-            for name in others:
-                state.send(name, HeardQuery(key))
             return state.now + wait
-    _drop(state, key)
+    if not _sees_majority(state):
+        return state.now + wait
+    _lose(state, key)
     return None
 
 
+def _sees_majority(state: State) -> bool:
+    """Whether this process is not itself the one that is cut off."""
+    live = len(state.table.live_instances)
+    gone = sum(key.startswith("i:") for key in state.table.gone_since)
+    return live >= gone
+
+
 def _other_guardians(state: State, key: str) -> list[str]:
     row = state.table.rows.get(key)
     if not isinstance(row, ServerRow):
@@ -114,25 +161,19 @@
     ]
 
 
-def _drop(state: State, key: str) -> None:
-    state.wards.pop(key, None)
+def _lose(state: State, key: str) -> None:
     row = state.table.rows.get(key)
     if not isinstance(row, ServerRow) or row.is_gone:
         return
     state.counters.silent += 1
-    server = attrs.evolve(row.server, state=ServerState.GONE)
-    state.take_row(ServerRow(server))
+    state.take_row(attrs.evolve(row, lost=True))
 
 
 def take_query(state: State, sender: str, msg: HeardQuery) -> None:
     """Tells whether this process heard a server lately."""
     ward = state.wards.get(msg.key)
-    recent = (
-        ward is not None
-        and ward.renewal >= 0
-        and state.now - ward.heard_at < silent_after(state)
-    )
-    state.send(sender, HeardReply(msg.key, recent))
+    heard_lately = ward is not None and _heard_lately(state, ward)
+    state.send(sender, HeardReply(msg.key, heard_lately))
 
 
 def take_reply(state: State, _: str, msg: HeardReply) -> None:
--- /dev/null
+++ b/tests/test_membership/test_addresses.py
@@ -0,0 +1,112 @@
+"""Addresses: few entries for a service, spread, and never none."""
+
+from __future__ import annotations
+
+import random
+
+from greengagemoor.document import parse_document
+from greengagemoor.membership.addresses import choose
+from greengagemoor.membership.decider import MembershipDecider
+from greengagemoor.membership.messages import Leave
+from greengagemoor.membership.rows import InstanceRow, InstanceState
+from tests.fakes import DOCUMENT
+from tests.test_membership.helpers import ENTRIES, start_entries
+
+SERVICES = [f"service-{number}" for number in range(200)]
+
+
+def row(number: int, state=InstanceState.READY, sequence=1) -> InstanceRow:
+    """Returns an entry's row; three entries for each data centre."""
+    return InstanceRow(
+        name=f"e{number}",
+        incarnation=1,
+        sequence=sequence,
+        state=state,
+        peer_address="127.0.0.1:1",
+        http_address="127.0.0.1:2",
+        data_centre=f"dc{number % 3}",
+        region="r1",
+        roles=("entry",),
+    )
+
+
+def make_view(count: int = 9):
+    """Returns a membership state that knows some entries."""
+    decider = MembershipDecider(row(0), {}, random.Random(1))
+    decider.state.document = parse_document(DOCUMENT)
+    for number in range(1, count):
+        decider.state.take_row(row(number))
+    decider.state.take_row(row(0, sequence=2))
+    return decider.state
+
+
+def table_of(state) -> dict[str, list[str]]:
+    """Returns the entries of each service."""
+    return {s: [r.name for r in choose(state, s)] for s in SERVICES}
+
+
+class TestChoice:
+    """Rendezvous over the entries that are ready."""
+
+    def test_two_entries_in_two_data_centres(self):
+        state = make_view()
+        for service in SERVICES:
+            chosen = choose(state, service)
+            assert len(chosen) == 2
+            assert len({r.data_centre for r in chosen}) == 2
+
+    def test_spread_over_all_entries(self):
+        state = make_view()
+        used = [name for names in table_of(state).values() for name in names]
+        counts = [used.count(f"e{n}") for n in range(9)]
+        assert min(counts) > 0.4 * max(counts)
+
+    def test_change_of_one_entry_moves_only_its_services(self):
+        """All callers move at once.
+
+        Symptom: all connections are made anew when one entry restarts.
+        Sequence: an entry leaves; every service gets other addresses.
+        Cause: services are dealt out by position.
+        """
+        state = make_view()
+        before = table_of(state)
+        state.take_row(row(4, InstanceState.LEAVING, sequence=2))
+        after = table_of(state)
+        for service in SERVICES:
+            if "e4" not in before[service]:
+                assert after[service] == before[service]
+            else:
+                assert "e4" not in after[service]
+                assert set(before[service]) & set(after[service])
+
+    def test_never_none(self):
+        """No address at all.
+
+        Symptom: callers get an empty list while entries run.
+        Sequence: a spike overloads all entries, or all are suspected.
+        Cause: doubtful entries are left out, whatever is left.
+        """
+        state = make_view(3)
+        for bad in (InstanceState.OVERLOADED, InstanceState.SUSPECT):
+            for number in range(3):
+                sequence = 3 if bad is InstanceState.OVERLOADED else 4
+                state.take_row(row(number, bad, sequence=sequence))
+            assert len(choose(state, "s")) == 2
+
+    def test_overloaded_are_left_out_while_others_are_ready(self):
+        state = make_view(3)
+        state.take_row(row(1, InstanceState.OVERLOADED, sequence=2))
+        for service in SERVICES:
+            assert "e1" not in [r.name for r in choose(state, service)]
+
+
+class TestLeaving:
+    """An entry that leaves is out of the addresses at once."""
+
+    def test_all_entries_know_within_a_second(self):
+        fleet = start_entries()
+        fleet.put("e1", Leave())
+        fleet.run(1.0)
+        for entry in ENTRIES:
+            chosen = choose(fleet.nodes[entry].membership.state, "s")
+            assert "e1" not in [r.name for r in chosen]
