--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
-	$(BIN)/python examples/demo.py
+	$(BIN)/python -m examples.demo
 
 test: $(STAMP)
 	$(BIN)/python -m pytest
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that show how greengagemoor is used."""
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -7,7 +7,7 @@
 import tempfile
 from pathlib import Path
 
-from fleet import EXAMPLES, Fleet, free_addresses, wait_for
+from examples.fleet import EXAMPLES, Fleet, free_addresses, wait_for
 
 SHARDS = {
     "searcher-1": "0,1,2,3",
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -2,14 +2,8 @@
 
 from __future__ import annotations
 
-import sys
-from pathlib import Path
-
-EXAMPLES = Path(__file__).parent.parent / "examples"
-sys.path.insert(0, str(EXAMPLES))
-
-import demo  # noqa: E402
-from fleet import Fleet  # noqa: E402
+from examples import demo
+from examples.fleet import Fleet
 
 
 class TestDemo:
