Membership costs no longer grow with the number of instances

Cause, from the slopes: a round counted the instances of the own data centre, and every tick of a process scanned all instances for the control role; a change of the document looked at every searcher. Now the table keeps instances by data centre and role, and a document change looks at the services that differ.

Also: a failed tick was logged over many lines with the values of variables; it is one line now, with the places of the trace.

--- a/greengagemoor/log.py
+++ b/greengagemoor/log.py
@@ -4,17 +4,22 @@
 
 import json
 import sys
+import traceback
+from pathlib import Path
 from typing import Any
 
 from loguru import logger
 
+MOST_FRAMES = 8
 _FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}"
 
 
 def set_up(level: str, instance: str) -> None:
     """Sends log lines of at least ``level`` to standard error."""
     logger.remove()
-    logger.add(sys.stderr, level=level, format=_FORMAT)
+    logger.add(
+        sys.stderr, level=level, format=_FORMAT, backtrace=False, diagnose=False
+    )
     logger.configure(extra={"instance": instance})
 
 
@@ -29,6 +34,15 @@
     return text if plain else json.dumps(text)
 
 
+def where(exc: BaseException) -> str:
+    """Returns where an exception came from, innermost last, on one line."""
+    frames = traceback.extract_tb(exc.__traceback__)[-MOST_FRAMES:]
+    return " ".join(
+        f"{Path(frame.filename).name}:{frame.lineno}:{frame.name}"
+        for frame in frames
+    )
+
+
 def event(name: str, level: str = "INFO", **fields: Any) -> None:
     """Logs one event."""
     logger.opt(depth=1).log(level, "{}", pairs(event=name, **fields))
--- a/greengagemoor/membership/documents.py
+++ b/greengagemoor/membership/documents.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from greengagemoor.control.messages import Confirmed, DocumentAccepted
+    from greengagemoor.document import Document
     from greengagemoor.membership.messages import CurrentRead
     from greengagemoor.membership.state import State
 
@@ -86,6 +87,7 @@
     except DocumentError:
         state.counters.refused += 1
         return
+    before, allowed_before = state.document, state.allowed
     state.document = document
     state.document_version = version
     state.packed_document = zlib.compress(text.encode())
@@ -94,7 +96,19 @@
         for service in document.services
     }
     state.out.append(DocumentChanged(version, document))
-    view.show_all(state)
+    if before is None or _shares_differ(before, document):
+        view.show_all(state)
+        return
+    for name in sorted(allowed_before.keys() | state.allowed.keys()):
+        if allowed_before.get(name) != state.allowed.get(name):
+            view.show_service(state, name)
+
+
+def _shares_differ(before: Document, after: Document) -> bool:
+    return (before.entries, before.connection_places) != (
+        after.entries,
+        after.connection_places,
+    )
 
 
 def take_read(state: State, msg: CurrentRead) -> None:
--- a/greengagemoor/membership/gossip.py
+++ b/greengagemoor/membership/gossip.py
@@ -55,8 +55,7 @@
     The share of far exchanges falls with the size of the data centre, so
     that a change crosses a slow link a few times a round and not once a node.
     """
-    peers = [n for n in state.table.live_instances if n != state.me.name]
-    if not peers:
+    if len(state.table.live_instances) < 2:
         return None
     if state.rng.random() < _remote_share(state):
         remote = _remote_peers(state)
@@ -66,11 +65,8 @@
 
 
 def _remote_share(state: State) -> float:
-    near = sum(
-        row.data_centre == state.me.data_centre
-        for row in state.table.live_instances.values()
-    )
-    return min(MOST_REMOTE_SHARE, REMOTE_EXCHANGES / max(1, near))
+    near = state.table.by_data_centre.get(state.me.data_centre, ())
+    return min(MOST_REMOTE_SHARE, REMOTE_EXCHANGES / max(1, len(near)))
 
 
 def _remote_peers(state: State) -> list[str]:
@@ -97,13 +93,11 @@
 
 
 def _turn(state: State) -> list[str]:
-    rows = [
-        r
-        for r in state.table.live_instances.values()
-        if r.name != state.me.name
-    ]
-    near = [r.name for r in rows if r.data_centre == state.me.data_centre]
-    names = near or [r.name for r in rows]
+    table = state.table
+    near = set(table.by_data_centre.get(state.me.data_centre, ()))
+    names = sorted((near or set(table.live_instances)) - {state.me.name})
+    if not names:
+        names = sorted(set(table.live_instances) - {state.me.name})
     state.rng.shuffle(names)
     return names
 
--- a/greengagemoor/membership/table.py
+++ b/greengagemoor/membership/table.py
@@ -37,6 +37,8 @@
         self.buckets: list[dict[str, Row]] = [{} for _ in range(BUCKETS)]
         self.gone_since: dict[str, float] = {}
         self.live_instances: dict[str, InstanceRow] = {}
+        self.by_data_centre: dict[str, dict[str, InstanceRow]] = {}
+        self.by_role: dict[str, dict[str, InstanceRow]] = {}
         self.guarded: dict[str, set[str]] = {}
         self.by_service: dict[str, dict[str, ServerRow]] = {}
         self._digests = [0] * BUCKETS
@@ -68,6 +70,8 @@
     def _index(self, row: Row) -> None:
         if isinstance(row, InstanceRow):
             self.live_instances[row.name] = row
+            for index in self._instance_indexes(row):
+                index[row.name] = row
             return
         self.by_service.setdefault(row.server.service, {})[row.key] = row
         for guardian in row.server.announced_to:
@@ -80,11 +84,20 @@
         del self.buckets[bucket_of(row.key)][row.key]
         if isinstance(row, InstanceRow):
             del self.live_instances[row.name]
+            for index in self._instance_indexes(row):
+                del index[row.name]
             return
         del self.by_service[row.server.service][row.key]
         for guardian in row.server.announced_to:
             self.guarded[guardian].discard(row.key)
 
+    def _instance_indexes(
+        self, row: InstanceRow
+    ) -> Iterator[dict[str, InstanceRow]]:
+        yield self.by_data_centre.setdefault(row.data_centre, {})
+        for role in row.roles:
+            yield self.by_role.setdefault(role, {})
+
     def _flip(self, row: Row) -> None:
         digest = hash64(f"{row.key}{row.order}")
         index = bucket_of(row.key)
--- a/greengagemoor/membership/view.py
+++ b/greengagemoor/membership/view.py
@@ -8,10 +8,8 @@
 
 from greengagemoor.membership import liveness, wards
 from greengagemoor.membership.rows import (
-    InstanceRow,
     InstanceState,
     ServerRow,
-    server_key,
 )
 from greengagemoor.query.messages import ServerChanged, ServerGone
 
@@ -100,12 +98,7 @@
         show(state, row)
 
 
-def row_of(state: State, service: str, name: str) -> ServerRow | None:
-    """Returns a server's row, live or gone, or None."""
-    row = state.table.rows.get(server_key(service, name))
-    return row if isinstance(row, ServerRow) else None
-
-
-def is_entry_ready(row: InstanceRow) -> bool:
-    """Whether callers may be sent to this instance without reserve."""
-    return row.state is InstanceState.READY and "entry" in row.roles
+def show_service(state: State, service: str) -> None:
+    """Looks at the servers of one service again."""
+    for row in list(state.table.servers_of(service)):
+        show(state, row)
--- a/greengagemoor/node.py
+++ b/greengagemoor/node.py
@@ -144,11 +144,7 @@
         still get would turn every refusal into "may have been accepted".
         """
         table = self.membership.state.table
-        found = {
-            row.name
-            for row in table.live_instances.values()
-            if CONTROL_ROLE in row.roles
-        }
+        found = set(table.by_role.get(CONTROL_ROLE, ()))
         gone = {
             name
             for name in self._first_targets
--- a/greengagemoor/query/requests.py
+++ b/greengagemoor/query/requests.py
@@ -387,14 +387,17 @@
     for waiter in list(query.waiters.values()):
         answer = answers.build_answer(query, waiter.request_id, retry_after)
         _reply(state, query, waiter, answer)
-    final = answers.build_answer(query, query.request.request_id, retry_after)
-    attempts_left = bool(query.attempts)
-    if not query.is_claimed:
+    if query.is_claimed and not query.attempts:
+        _record(state, query, _final_answer(query))
+    elif not query.is_claimed:
         attempts.cancel_all(state, query)
     _note_time(state, query)
     _close(state, query)
-    if query.is_claimed and not attempts_left:
-        _record(state, query, final)
+
+
+def _final_answer(query: Query) -> Answer:
+    request_id = query.request.request_id
+    return answers.build_answer(query, request_id, query.service.query_time)
 
 
 def _note_time(state: State, query: Query) -> None:
@@ -437,10 +440,7 @@
 
 def record_late(state: State, query: Query) -> None:
     """Records the outcome of a claimed query that ended after its answer."""
-    final = answers.build_answer(
-        query, query.request.request_id, query.service.query_time
-    )
-    _record(state, query, final)
+    _record(state, query, _final_answer(query))
 
 
 def _reply(state: State, query: Query, waiter: Waiter, answer: Answer) -> None:
--- a/greengagemoor/shell/loop.py
+++ b/greengagemoor/shell/loop.py
@@ -6,8 +6,6 @@
 import threading
 from typing import TYPE_CHECKING
 
-from loguru import logger
-
 from greengagemoor import events, log
 
 if TYPE_CHECKING:
@@ -63,7 +61,12 @@
                 self._act(self._node.step(self._clock.now(), msgs))
             except Exception as exc:
                 self.failures += 1
-                logger.exception("{}", log.pairs(event="tick_failed"))
+                log.event(
+                    "tick_failed",
+                    level="ERROR",
+                    reason=repr(exc),
+                    where=log.where(exc),
+                )
                 self._events.emit(events.TICK_FAILED, exc)
 
     def _collect(self) -> list[object]:
