A restarted entry learns the table at once, and is ready only then

Symptom: 500 rows took 42 s to learn, and meanwhile a restarted entry was in the addresses and told callers that no backend server holds anything. Cause: a comparison covered 16 buckets and the next one waited for three differing rounds; 'ready' meant only that the document was there. Ruled out: the size of the messages (the bytes are the rows' own).

--- a/bench/many.py
+++ b/bench/many.py
@@ -83,6 +83,7 @@
         for other in (*self.rows, *(ServerRow(s) for s in self.servers)):
             state.table.merge(other, 0.0)
         state.read_version = 0
+        state.caught_up = True
         state.fresh = Freshness("g", 1, 1, 0)
         state.fresh_at = 0.0
         state.hot.clear()
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -153,6 +153,7 @@
         state.table = Table()
         state.take_row(state.me)
         state.table.merge(many.rows[1], 0.0)
+        state.caught_up = False
         many.reset_costs()
         full = rows + 30
         while len(state.table.rows) < full and many.now < 120:
--- a/greengagemoor/application.py
+++ b/greengagemoor/application.py
@@ -82,6 +82,7 @@
         )
         self._http = HttpServer(cfg, self)
         self._overload_until: float | None = None
+        self._overload_lock = threading.Lock()
         self._connect()
 
     def add_route(self, method: str, pattern: str, handler: Callable) -> None:
@@ -271,16 +272,22 @@
     def note_gate_full(self) -> None:
         """Counts a refusal at the gate, and has callers steered elsewhere."""
         self.metrics.count("gate_refusals")
-        now = self.clock.now()
-        if self._overload_until is None:
+        with self._overload_lock:
+            first = self._overload_until is None
+            self._overload_until = self.clock.now() + OVERLOAD_HOLD_S
+        if first:
             self._loop.put(membership.Overload(active=True))
             threading.Thread(target=self._end_overload, daemon=True).start()
-        self._overload_until = now + OVERLOAD_HOLD_S
 
     def _end_overload(self) -> None:
-        while (left := self._overload_until - self.clock.now()) > 0:
+        """Takes the word back once no request was refused for a while."""
+        while True:
+            with self._overload_lock:
+                left = self._overload_until - self.clock.now()
+                if left <= 0:
+                    self._overload_until = None
+                    break
             time.sleep(left)
-        self._overload_until = None
         self._loop.put(membership.Overload(active=False))
 
     def control_status(self) -> ControlStatus | None:
--- a/greengagemoor/membership/decider.py
+++ b/greengagemoor/membership/decider.py
@@ -130,7 +130,7 @@
     m.Buckets: gossip.take_buckets,
     m.BucketKeys: gossip.take_keys,
     m.RowsWanted: gossip.take_wanted,
-    m.Rows: gossip.take_rows,
+    m.Rows: gossip.take_rows_alone,
     m.WantDocument: documents.take_wanted,
     m.DocumentCopy: documents.take_copy,
     m.HeardQuery: wards.take_query,
--- a/greengagemoor/membership/gossip.py
+++ b/greengagemoor/membership/gossip.py
@@ -202,10 +202,10 @@
     """
     if root == state.table.root:
         state.differing_rounds = 0
+        state.caught_up = True
         return
     state.differing_rounds += 1
-    new_here = len(state.table.live_instances) < 2
-    if state.differing_rounds >= DIFFERING_ROUNDS or new_here:
+    if state.differing_rounds >= DIFFERING_ROUNDS or not state.caught_up:
         state.differing_rounds = 0
         state.counters.compared += 1
         state.send(sender, Buckets(state.table.pack_digests()))
@@ -223,16 +223,19 @@
 
 def take_buckets(state: State, sender: str, msg: Buckets) -> None:
     """Answers with the keys of the buckets that differ."""
-    differing = state.table.differing(msg.digests)
+    differing = [
+        bucket
+        for bucket in state.table.differing(msg.digests)
+        if bucket >= msg.start
+    ]
     chosen = tuple(differing[:MOST_BUCKETS])
-    if not chosen:
-        return
     keys = tuple(
         RowKey(key, *row.order)
         for bucket in chosen
         for key, row in state.table.buckets[bucket].items()
     )
-    state.send(sender, BucketKeys(chosen, keys))
+    left = differing[MOST_BUCKETS:]
+    state.send(sender, BucketKeys(chosen, keys, left[0] if left else 0))
 
 
 def take_keys(state: State, sender: str, msg: BucketKeys) -> None:
@@ -260,6 +263,19 @@
         state.send(sender, _pack([*newer_here, *only_here]))
     if wanted:
         state.send(sender, RowsWanted(wanted))
+    if msg.next:
+        state.send(sender, Buckets(state.table.pack_digests(), msg.next))
+    elif wanted:
+        state.awaits_last_rows = True
+    else:
+        state.caught_up = True
+
+
+def take_rows_alone(state: State, sender: str, msg: Rows) -> None:
+    """Merges rows that came without a probe, as the end of a comparison."""
+    take_rows(state, sender, msg)
+    if state.awaits_last_rows:
+        state.caught_up = True
 
 
 def take_wanted(state: State, sender: str, msg: RowsWanted) -> None:
--- a/greengagemoor/membership/messages.py
+++ b/greengagemoor/membership/messages.py
@@ -87,9 +87,14 @@
 
 @attrs.frozen
 class Buckets:
-    """Digests of all buckets, four bytes each."""
+    """Digests of all buckets, four bytes each.
+
+    Attributes:
+        start: first bucket to compare.
+    """
 
     digests: bytes
+    start: int = 0
 
 
 @attrs.frozen
@@ -110,10 +115,15 @@
 
 @attrs.frozen
 class BucketKeys:
-    """The keys of the sender's rows in some buckets."""
+    """The keys of the sender's rows in some buckets.
+
+    Attributes:
+        next: bucket from which more differ; 0 when these were the last.
+    """
 
     buckets: tuple[int, ...]
     keys: tuple[RowKey, ...]
+    next: int = 0
 
 
 @attrs.frozen
--- a/greengagemoor/membership/state.py
+++ b/greengagemoor/membership/state.py
@@ -84,6 +84,8 @@
     next_probe: int = 1
     targets: list[str] = attrs.field(factory=list)
     differing_rounds: int = 0
+    caught_up: bool = False
+    awaits_last_rows: bool = False
     # Liveness.
     suspects: dict[str, float] = attrs.field(factory=dict)
     wards: dict[str, Ward] = attrs.field(factory=dict)
@@ -142,10 +144,18 @@
             return InstanceState.LEAVING
         if not self.confirmed or not self._is_listed():
             return InstanceState.STARTING
+        if not self.caught_up and (self.seeds or self._has_peers):
+            # Callers who are sent here before the table is learnt would be
+            # told that no backend server holds anything.
+            return InstanceState.STARTING
         if self.overloaded:
             return InstanceState.OVERLOADED
         return InstanceState.READY
 
+    @property
+    def _has_peers(self) -> bool:
+        return len(self.table.live_instances) > 1
+
     def _is_listed(self) -> bool:
         is_entry = "entry" in self.me.roles
         listed = self.document and self.me.name in self.document.entries
--- a/greengagemoor/util/shape.py
+++ b/greengagemoor/util/shape.py
@@ -31,18 +31,14 @@
     return cls(value)
 
 
-def _add_exact(conv: cattrs.Converter, kind: type, *accepted: type) -> None:
-    hook = _strict(kind, *accepted)
-    conv.register_structure_hook_func(lambda cls: cls is kind, hook)
-
-
 def _make_converter() -> cattrs.Converter:
     conv = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
-    # Exact classes: an IntEnum is an int too, and must stay an enum.
-    _add_exact(conv, int, int)
-    _add_exact(conv, float, int, float)
-    _add_exact(conv, str, str)
-    _add_exact(conv, bool, bool)
+    conv.register_structure_hook(int, _strict(int, int))
+    conv.register_structure_hook(float, _strict(float, int, float))
+    conv.register_structure_hook(str, _strict(str, str))
+    conv.register_structure_hook(bool, _strict(bool, bool))
+    # An IntEnum is an int too; without its own hook it would come back as one.
+    conv.register_structure_hook(enum.IntEnum, _structure_enum)
     conv.register_structure_hook_func(
         lambda cls: isinstance(cls, type) and issubclass(cls, enum.Enum),
         _structure_enum,
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
-from examples import demo
-from examples.fleet import Fleet
+import pytest
+
+from examples import demo, embed_membership
+from examples.fleet import EXAMPLES, Fleet
+from greengagemoor.document import parse_document
 
 
 class TestDemo:
@@ -16,3 +19,23 @@
         assert answer["coverage"]["reflected"] == [0, 1, 2, 3, 4, 5]
         assert answer["coverage"]["missing"] == []
         assert all(p.poll() is not None for p in fleet.processes.values())
+
+
+class TestEmbedding:
+    """A part that runs without the daemons."""
+
+    def test_membership_finds_the_other(self):
+        assert set(embed_membership.run()) == {"a", "b"}
+
+
+class TestDocuments:
+    """The documents shipped for the two organisations."""
+
+    @pytest.mark.parametrize(
+        ("name", "searchers"), [("atlas", 85), ("darling-downs", 83)]
+    )
+    def test_valid_and_of_the_right_size(self, name, searchers):
+        path = EXAMPLES / "documents" / f"{name}.json"
+        document = parse_document(path.read_text())
+        found = sum(len(s.backend_servers) for s in document.services)
+        assert found == searchers
--- a/tests/test_membership/test_addresses.py
+++ b/tests/test_membership/test_addresses.py
@@ -10,7 +10,13 @@
 from greengagemoor.membership.messages import Leave
 from greengagemoor.membership.rows import InstanceRow, InstanceState
 from tests.fakes import DOCUMENT
-from tests.test_membership.helpers import ENTRIES, start_entries
+from tests.test_membership.helpers import (
+    ENTRIES,
+    run_with_renewals,
+    shown,
+    start_entries,
+    start_searchers,
+)
 
 SERVICES = [f"service-{number}" for number in range(200)]
 
@@ -110,3 +116,33 @@
         for entry in ENTRIES:
             chosen = choose(fleet.nodes[entry].membership.state, "s")
             assert "e1" not in [r.name for r in chosen]
+
+
+class TestCatchingUp:
+    """A restarted entry is offered to callers once it knows the servers."""
+
+    def test_not_ready_before_the_table_is_learnt(self):
+        """Refusals from an entry that just restarted.
+
+        Symptom: for seconds after each restart callers are told that no
+        backend server holds anything.
+        Sequence: an entry restarts, reads the document from a quorum, and is
+        in the addresses before it has learnt the table.
+        Cause: ready means only that the document is there.
+        """
+        fleet = start_entries()
+        searchers = start_searchers(fleet)
+        fleet.kill("e3")
+        run_with_renewals(fleet, searchers.values(), 2.0)
+        fleet.start("e3")
+        state = fleet.nodes["e3"].membership.state
+        until = fleet.now + 10.0
+        renew_at = fleet.now
+        while fleet.now < until and state.me.state is not InstanceState.READY:
+            if fleet.now >= renew_at:
+                renew_at += 1.0
+                run_with_renewals(fleet, searchers.values(), 0.001)
+            fleet.run(0.001)
+        assert state.me.state is InstanceState.READY
+        assert len(shown(fleet, "e3")) == 3
+        assert fleet.now < until - 5.0
--- /dev/null
+++ b/tests/test_shell/test_http.py
@@ -0,0 +1,246 @@
+"""The HTTP interface of one entry: bad input, spikes, and codes."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+
+import pytest
+import urllib3
+
+from examples.fleet import free_addresses, wait_for
+from greengagemoor import events
+from greengagemoor.application import Application
+from greengagemoor.config import PeerSettings, Settings
+from greengagemoor.query.messages import Reply
+
+WAITING = 4
+
+
+@pytest.fixture(scope="module")
+def app(tmp_path_factory):
+    http, peer = free_addresses(2)
+    cfg = Settings(
+        instance="e1",
+        data_centre="dc1",
+        roles=("entry", "control"),
+        http_address=http,
+        peer_address=peer,
+        control_group=(PeerSettings("e1", peer),),
+        data_folder=str(tmp_path_factory.mktemp("data")),
+        new_group=True,
+        http_threads=WAITING + 4,
+        waiting_requests=WAITING,
+        max_body_bytes=10_000,
+        read_timeout_s=1.0,
+        addresses_valid_s=0.1,
+        leave_margin_s=0.0,
+    )
+    application = Application(cfg)
+    application.start()
+    yield application
+    application.shut_down()
+
+
+@pytest.fixture(scope="module")
+def client(app):
+    http = Client(app.cfg.http_address)
+    body = {
+        "apply_id": "first",
+        "replaces": 0,
+        "document": {
+            "entries": ["e1"],
+            "services": [
+                {
+                    "name": "s",
+                    "backend_servers": [{"name": "a", "connection_cap": 40}],
+                    "request_classes": [{"name": "read"}],
+                }
+            ],
+        },
+    }
+    wait_for(
+        "an accepted document",
+        lambda: http.call("PUT", "/v1/document", body)[1]["code"] == 500,
+    )
+    wait_for("ready", lambda: http.call("GET", "/healthz")[0] == 200)
+    return http
+
+
+class Client:
+    """Calls one entry."""
+
+    def __init__(self, address: str):
+        self.address = address
+        self._http = urllib3.PoolManager(retries=False, timeout=10.0)
+
+    def call(self, method: str, path: str, body=None, raw: bytes | None = None):
+        """Returns status and JSON (or text) of one request."""
+        data = json.dumps(body).encode() if raw is None else raw
+        response = self._http.request(
+            method, f"http://{self.address}{path}", body=data
+        )
+        try:
+            return response.status, response.json()
+        except ValueError:
+            return response.status, response.data.decode()
+
+
+ASK = "/v1/services/s/requests"
+REQUEST = {"caller": "atlas", "request_class": "read", "request_id": "r"}
+
+
+class TestBadInput:
+    """Rubbish costs only its own request, and gets a code."""
+
+    @pytest.mark.parametrize(
+        ("body", "fault"),
+        [
+            ({**REQUEST, "colour": "red"}, "colour"),
+            ({**REQUEST, "caller": 7}, "$.caller"),
+            ({**REQUEST, "deadline_s": -1}, "deadline_s"),
+            ({"caller": "atlas"}, "request_class"),
+            ([1, 2], "$"),
+        ],
+    )
+    def test_faults_have_paths(self, client, body, fault):
+        status, reply = client.call("POST", ASK, body)
+        assert status == 400
+        assert reply["name"] == "NOT_RUN_BAD_REQUEST"
+        assert any(fault in line for line in reply["faults"])
+
+    def test_not_json(self, client):
+        status, reply = client.call("POST", ASK, raw=b"{no")
+        assert (status, reply["code"]) == (400, 207)
+
+    def test_deep_nesting(self, client):
+        raw = b"[" * 5000
+        status, reply = client.call("POST", ASK, raw=raw)
+        assert (status, reply["code"]) == (400, 207)
+
+    def test_body_too_large(self, client):
+        status, _ = client.call("POST", ASK, raw=b"x" * 20_000)
+        assert status == 413
+
+    @pytest.mark.parametrize(
+        ("method", "path", "status"),
+        [("GET", "/nowhere", 404), ("PATCH", "/healthz", 405)],
+    )
+    def test_unknown_paths(self, client, method, path, status):
+        assert client.call(method, path)[0] == status
+
+    def test_unknown_service(self, client):
+        status, reply = client.call(
+            "POST", "/v1/services/none/requests", REQUEST
+        )
+        assert (status, reply["name"]) == (404, "NOT_RUN_UNKNOWN_SERVICE")
+
+    def test_half_a_request_and_a_hang_up(self, client):
+        host, _, port = client.address.rpartition(":")
+        for data in (b"POST " + ASK.encode(), b"\x00\xff garbage\r\n\r\n"):
+            with socket.create_connection((host, int(port))) as sock:
+                sock.sendall(data)
+        assert client.call("GET", "/healthz")[0] == 200
+
+    def test_huge_announcement_is_refused(self, client, app):
+        server = {
+            "name": "a",
+            "incarnation": 1,
+            "sequence": 1,
+            "address": "127.0.0.1:1",
+            "data_centre": "dc1",
+            "service": "s",
+            "state": "ready",
+            "versions": [
+                {"version": v, "shard_count": 1, "shards": []}
+                for v in range(50)
+            ],
+        }
+        status, reply = client.call(
+            "POST", "/v1/announcements", {"server": server, "renewal": 1}
+        )
+        assert (status, reply["name"]) == (400, "ANNOUNCEMENT_INVALID")
+        assert (
+            "greengagemoor_announcements_invalid 1"
+            in client.call("GET", "/metrics")[1]
+        )
+
+
+class TestSpike:
+    """Waiting requests are bounded below the threads."""
+
+    def test_health_and_refusals_while_all_wait(self, client, app, tmp_path):
+        """An entry that looks dead in a spike.
+
+        Symptom: health checks time out, and callers get no refusal.
+        Sequence: requests that wait hold every thread of the server.
+        Cause: nothing bounds how many wait.
+        """
+        silent = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
+        server = {
+            "name": "a",
+            "incarnation": 1,
+            "sequence": 1,
+            "address": address,
+            "data_centre": "dc1",
+            "service": "s",
+            "state": "ready",
+            "versions": [{"version": 1, "shard_count": 1, "shards": [0]}],
+            "slots": 2,
+            "connection_cap": 40,
+        }
+        announcement = {"server": server, "renewal": 1}
+        assert client.call("POST", "/v1/announcements", announcement)[0] == 200
+        codes = []
+
+        def ask(number: int) -> None:
+            body = {**REQUEST, "deadline_s": 1.5, "body": number}
+            codes.append(client.call("POST", ASK, body)[1]["code"])
+
+        threads = [
+            threading.Thread(target=ask, args=(n,)) for n in range(10 * WAITING)
+        ]
+        for thread in threads:
+            thread.start()
+        wait_for("refusals", lambda: codes.count(200) >= WAITING)
+        began = time.monotonic()
+        assert client.call("GET", "/v1/addresses?service=s")[0] == 200
+        assert client.call("GET", "/v1/status")[0] == 200
+        assert any(thread.is_alive() for thread in threads), (
+            f"addresses took {time.monotonic() - began} s"
+        )
+        for thread in threads:
+            thread.join()
+        silent.close()
+        assert len(codes) == 10 * WAITING
+        assert set(codes) <= {200, 201, 400}
+
+
+class TestTicks:
+    """A tick that raises ends no other request."""
+
+    def test_message_that_no_decider_knows(self, client, app):
+        app._loop.put(object())
+        wait_for("a counted failure", lambda: app._loop.failures > 0)
+        assert client.call("GET", "/v1/status")[0] == 200
+        text = client.call("GET", "/metrics")[1]
+        assert "greengagemoor_tick_failures_total 1" in text
+
+
+class TestHooks:
+    """What embedders may add."""
+
+    def test_listener_hears_answers(self, client, app):
+        heard = []
+        app.add_listener(events.ANSWERED, heard.append)
+        client.call("POST", ASK, {**REQUEST, "request_class": "none"})
+        assert isinstance(heard[-1], Reply)
+
+    def test_series_for_caller_and_class(self, client):
+        client.call("POST", ASK, {**REQUEST, "deadline_s": 0.05})
+        rows = client.call("GET", "/v1/histograms")[1]["rows"]
+        measures = {row["measure"] for row in rows if row["caller"] == "atlas"}
+        assert measures == {"latency_us", "coverage_percent", "attempts"}
