SIGTERM twice no longer hangs a process

Cause: the handler set a threading.Event; the second signal's handler ran inside the first one's and waited for the lock that it held.

--- a/greengagemoor/cmd/daemon.py
+++ b/greengagemoor/cmd/daemon.py
@@ -5,7 +5,6 @@
 import os
 import signal
 import sys
-import threading
 from pathlib import Path
 from typing import Annotated, NoReturn
 
@@ -19,6 +18,7 @@
 EXIT_INVALID = 2
 EXIT_STORAGE = 3
 EXIT_NETWORK = 4
+ENDING_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run(
@@ -37,10 +37,11 @@
         typer.echo(f"{settings}: valid")
         return
     log.set_up(cfg.log_level, cfg.instance)
-    stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
-    _serve(cfg, stopping)
+    # Blocked in every thread, and waited for in this one. A handler would run
+    # inside another one when signals come in a burst, and any lock it takes
+    # would be held already: the process would hang instead of ending.
+    signal.pthread_sigmask(signal.SIG_BLOCK, ENDING_SIGNALS)
+    _serve(cfg)
 
 
 def _load(path: Path) -> Settings:
@@ -52,7 +53,7 @@
         raise typer.Exit(EXIT_INVALID) from exc
 
 
-def _serve(cfg: Settings, stopping: threading.Event) -> None:
+def _serve(cfg: Settings) -> None:
     try:
         application = Application(cfg)
         application.start()
@@ -63,8 +64,8 @@
     except OSError as exc:
         log.event("listen_failed", level="ERROR", reason=exc)
         _leave_at_once(EXIT_NETWORK)
-    stopping.wait()
-    # A second signal only sets the event again: it does not cut this short.
+    signal.sigwait(ENDING_SIGNALS)
+    # A further signal stays pending: it does not cut this short.
     application.shut_down()
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -273,3 +273,33 @@
         )
         assert second.returncode == 3
         assert "in use by another process" in second.stderr
+
+
+class TestSignals:
+    """Signals that come in a burst."""
+
+    def test_many_sigterms_end_it_once(self, tmp_path):
+        """A process that SIGTERM does not end.
+
+        Symptom: now and then a restart hangs until the instance is killed.
+        Sequence: a second SIGTERM comes while the first is being handled.
+        Cause: the handler sets an event, whose lock is held by the handler
+        that it interrupts.
+        """
+        http, peer = free_addresses(2)
+        with Fleet(tmp_path) as fleet:
+            fleet.start_instance(
+                "c1",
+                roles=["control"],
+                data_centre="dc-1",
+                http_address=http,
+                peer_address=peer,
+                data_folder=str(tmp_path / "data"),
+                control_group=[{"instance": "c1", "address": peer}],
+                new_group=True,
+            )
+            wait_for("c1", lambda: fleet.get(http, "/v1/members"))
+            process = fleet.processes["c1"]
+            for _ in range(3000):
+                process.send_signal(signal.SIGTERM)
+            assert process.wait(30) == 0
