--- a/greengagemoor/membership/gossip.py
+++ b/greengagemoor/membership/gossip.py
@@ -33,6 +33,7 @@
 MOST_REMOTE_SHARE = 0.3
 FAR_SHARE = 0.25
 SEED_EVERY = 10
+MOST_LOOKS = 4
 EXTRA_SENDS = 2
 
 
@@ -43,6 +44,9 @@
     target = _pick_target(state)
     if target:
         probe(state, target)
+    for name in state.look_at[:MOST_LOOKS]:
+        probe(state, name)
+    del state.look_at[:MOST_LOOKS]
     if not target or state.counters.rounds % SEED_EVERY == 0:
         _probe_lost(state)
     for key in state.table.forget_gone(state.now - state.timing.tombstone):
--- a/greengagemoor/membership/liveness.py
+++ b/greengagemoor/membership/liveness.py
@@ -18,6 +18,7 @@
 RELAY_AFTER_ROUNDS = 1.0
 SUSPECT_AFTER_ROUNDS = 3.0
 LEAST_SUSPICION_ROUNDS = 4.0
+LOOK_AROUND = 4
 
 
 def check_probes(state: State) -> None:
@@ -49,6 +50,27 @@
     if row is None or row.state is InstanceState.SUSPECT:
         return
     _say(state, row, InstanceState.SUSPECT)
+    _look_around(state, row)
+
+
+def _look_around(state: State, row: InstanceRow) -> None:
+    """Probes others of the same data centre next.
+
+    Instances of another data centre are probed seldom. When a whole one is
+    lost, finding them one by one takes minutes; one would see callers sent to
+    it long after. Each failed probe leads to a few more, so the search grows
+    with what it finds and costs nothing while all is well.
+    """
+    near = state.table.by_data_centre.get(row.data_centre, {})
+    fresh = [
+        name
+        for name, other in near.items()
+        if other.state is not InstanceState.SUSPECT
+        and name != state.me.name
+        and name not in state.look_at
+    ]
+    count = min(LOOK_AROUND, len(fresh))
+    state.look_at.extend(state.rng.sample(fresh, count))
 
 
 def _say(state: State, row: InstanceRow, new_state: InstanceState) -> None:
--- a/greengagemoor/membership/state.py
+++ b/greengagemoor/membership/state.py
@@ -87,6 +87,7 @@
     caught_up: bool = False
     awaits_last_rows: bool = False
     # Liveness.
+    look_at: list[str] = attrs.field(factory=list)
     suspects: dict[str, float] = attrs.field(factory=dict)
     wards: dict[str, Ward] = attrs.field(factory=dict)
     orphans: dict[str, float] = attrs.field(factory=dict)
