--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -16,11 +16,10 @@
 from typing import TYPE_CHECKING
 
 from bench.many import INTERVAL_S, Many
+from greengagemoor.control.commands import ApplyDocument, Claim
 from greengagemoor.control.decider import ControlDecider
 from greengagemoor.control.ledger import Ledger
 from greengagemoor.control.messages import (
-    ApplyDocument,
-    Claim,
     OpKind,
     OpRequest,
     Persist,
--- a/greengagemoor/control/client.py
+++ b/greengagemoor/control/client.py
@@ -20,7 +20,7 @@
     import random
     from collections.abc import Iterable
 
-    from greengagemoor.control.messages import Command
+    from greengagemoor.control.commands import Command
 
 RESEND_S = 0.4
 PAUSE_S = 0.05
--- /dev/null
+++ b/greengagemoor/control/commands.py
@@ -0,0 +1,106 @@
+"""Members, log entries and the commands of the replicated log.
+
+Times are unix seconds.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Member:
+    """A member of the control group.
+
+    Attributes:
+        member_id: ``instance#identity``; the identity is made with the data
+            folder, so a member that lost its disk comes back as another one.
+        voter: whether it votes and counts for a quorum.
+    """
+
+    member_id: str
+    instance: str
+    address: str
+    voter: bool
+
+
+@attrs.frozen
+class NoOp:
+    """Opens a leader's term and moves the group's time forward."""
+
+    time: float
+
+
+@attrs.frozen
+class ApplyDocument:
+    """Replaces document version ``replaces`` by ``text``."""
+
+    apply_id: str
+    replaces: int
+    text: str
+    time: float
+
+
+@attrs.frozen
+class Claim:
+    """Claims the right to send a request once.
+
+    Attributes:
+        claim_id: names one try of one entry process; the same try may be
+            proposed twice when a reply is lost.
+        issued_at: when the caller made the request id.
+        valid_for_s: after this time the claimant no longer sends.
+    """
+
+    caller: str
+    request_id: str
+    claim_id: str
+    issued_at: float
+    valid_for_s: float
+    time: float
+
+
+@attrs.frozen
+class RecordOutcome:
+    """Records how a claimed request ended."""
+
+    caller: str
+    request_id: str
+    claim_id: str
+    code: int
+    outcome: str
+    time: float
+
+
+@attrs.frozen
+class ChangeMembers:
+    """Replaces the member list; it differs by one voter at most."""
+
+    members: tuple[Member, ...]
+    time: float
+
+
+Command = NoOp | ApplyDocument | Claim | RecordOutcome | ChangeMembers
+
+
+@attrs.frozen
+class LogEntry:
+    """One entry of the replicated log."""
+
+    index: int
+    term: int
+    command: Command
+
+
+@attrs.frozen
+class Snapshot:
+    """The state machines after ``index``, as bytes.
+
+    Attributes:
+        members: the member list in force at ``index``.
+    """
+
+    index: int
+    term: int
+    members: tuple[Member, ...]
+    data: bytes
--- a/greengagemoor/control/decider.py
+++ b/greengagemoor/control/decider.py
@@ -27,6 +27,8 @@
     import random
     from collections.abc import Callable, Iterable
 
+    from greengagemoor.control.commands import Member
+
 
 @attrs.frozen
 class MemberStatus:
@@ -220,7 +222,7 @@
             warning=self._warning(spare),
         )
 
-    def _member_status(self, member: m.Member) -> MemberStatus:
+    def _member_status(self, member: Member) -> MemberStatus:
         state = self.state
         progress = state.progress.get(member.member_id)
         own = member.member_id == state.member_id
--- a/greengagemoor/control/documents.py
+++ b/greengagemoor/control/documents.py
@@ -12,7 +12,7 @@
 from greengagemoor.util import shape
 
 if TYPE_CHECKING:
-    from greengagemoor.control.messages import ApplyDocument
+    from greengagemoor.control.commands import ApplyDocument
 
 MAX_RESULTS = 10_000
 SHARE_LEASE_S = 7200.0
--- a/greengagemoor/control/election.py
+++ b/greengagemoor/control/election.py
@@ -5,14 +5,8 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor.codes import Code
-from greengagemoor.control.messages import (
-    LogEntry,
-    NoOp,
-    OpReply,
-    Send,
-    VoteReply,
-    VoteRequest,
-)
+from greengagemoor.control.commands import LogEntry, NoOp
+from greengagemoor.control.messages import OpReply, Send, VoteReply, VoteRequest
 from greengagemoor.control.state import Held, Progress, Role
 
 if TYPE_CHECKING:
--- a/greengagemoor/control/ledger.py
+++ b/greengagemoor/control/ledger.py
@@ -7,7 +7,7 @@
 import attrs
 
 from greengagemoor.codes import Code, is_not_run
-from greengagemoor.control.messages import Claim, RecordOutcome
+from greengagemoor.control.commands import Claim, RecordOutcome
 from greengagemoor.query.messages import ClaimVerdict
 from greengagemoor.util import shape
 
--- a/greengagemoor/control/log.py
+++ b/greengagemoor/control/log.py
@@ -5,12 +5,12 @@
 from itertools import dropwhile
 from typing import TYPE_CHECKING
 
-from greengagemoor.control.messages import ChangeMembers, LogEntry
+from greengagemoor.control.commands import ChangeMembers, LogEntry
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from greengagemoor.control.messages import Member
+    from greengagemoor.control.commands import Member
 
 
 class Log:
--- a/greengagemoor/control/machine.py
+++ b/greengagemoor/control/machine.py
@@ -7,22 +7,22 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor.codes import Code
-from greengagemoor.control.documents import ApplyResult, Documents
-from greengagemoor.control.ledger import (
-    DEFAULT_WINDOW_S,
-    ClaimAnswer,
-    Ledger,
-)
-from greengagemoor.control.messages import (
+from greengagemoor.control.commands import (
     ApplyDocument,
     ChangeMembers,
     Claim,
     NoOp,
     RecordOutcome,
 )
+from greengagemoor.control.documents import ApplyResult, Documents
+from greengagemoor.control.ledger import (
+    DEFAULT_WINDOW_S,
+    ClaimAnswer,
+    Ledger,
+)
 
 if TYPE_CHECKING:
-    from greengagemoor.control.messages import Command
+    from greengagemoor.control.commands import Command
 
 
 class Machine:
--- a/greengagemoor/control/members.py
+++ b/greengagemoor/control/members.py
@@ -7,15 +7,9 @@
 import attrs
 
 from greengagemoor.control import election, replication
+from greengagemoor.control.commands import ChangeMembers, LogEntry, Member
 from greengagemoor.control.log import Log
-from greengagemoor.control.messages import (
-    ChangeMembers,
-    JoinReply,
-    JoinRequest,
-    LogEntry,
-    Member,
-    Send,
-)
+from greengagemoor.control.messages import JoinReply, JoinRequest, Send
 from greengagemoor.control.state import Progress, Role
 
 if TYPE_CHECKING:
--- a/greengagemoor/control/messages.py
+++ b/greengagemoor/control/messages.py
@@ -1,4 +1,4 @@
-"""Messages and log commands of the control group.
+"""Messages of the control group.
 
 Payloads travel between processes of ours as protobuf messages of the same
 names (wire/peers.proto). Times are unix seconds.
@@ -10,107 +10,7 @@
 
 import attrs
 
-
-@attrs.frozen
-class Member:
-    """A member of the control group.
-
-    Attributes:
-        member_id: ``instance#identity``; the identity is made with the data
-            folder, so a member that lost its disk comes back as another one.
-        voter: whether it votes and counts for a quorum.
-    """
-
-    member_id: str
-    instance: str
-    address: str
-    voter: bool
-
-
-# Log commands.
-
-
-@attrs.frozen
-class NoOp:
-    """Opens a leader's term and moves the group's time forward."""
-
-    time: float
-
-
-@attrs.frozen
-class ApplyDocument:
-    """Replaces document version ``replaces`` by ``text``."""
-
-    apply_id: str
-    replaces: int
-    text: str
-    time: float
-
-
-@attrs.frozen
-class Claim:
-    """Claims the right to send a request once.
-
-    Attributes:
-        claim_id: names one try of one entry process; the same try may be
-            proposed twice when a reply is lost.
-        issued_at: when the caller made the request id.
-        valid_for_s: after this time the claimant no longer sends.
-    """
-
-    caller: str
-    request_id: str
-    claim_id: str
-    issued_at: float
-    valid_for_s: float
-    time: float
-
-
-@attrs.frozen
-class RecordOutcome:
-    """Records how a claimed request ended."""
-
-    caller: str
-    request_id: str
-    claim_id: str
-    code: int
-    outcome: str
-    time: float
-
-
-@attrs.frozen
-class ChangeMembers:
-    """Replaces the member list; it differs by one voter at most."""
-
-    members: tuple[Member, ...]
-    time: float
-
-
-Command = NoOp | ApplyDocument | Claim | RecordOutcome | ChangeMembers
-
-
-@attrs.frozen
-class LogEntry:
-    """One entry of the replicated log."""
-
-    index: int
-    term: int
-    command: Command
-
-
-@attrs.frozen
-class Snapshot:
-    """The state machines after ``index``, as bytes.
-
-    Attributes:
-        members: the member list in force at ``index``.
-    """
-
-    index: int
-    term: int
-    members: tuple[Member, ...]
-    data: bytes
-
+from greengagemoor.control.commands import Command, LogEntry, Snapshot
 
 # Between members of the group. ``source`` and ``target`` are member ids: a
 # message for the identity that an instance had before it lost its disk must
--- a/greengagemoor/control/operations.py
+++ b/greengagemoor/control/operations.py
@@ -8,15 +8,10 @@
 
 from greengagemoor.codes import Code
 from greengagemoor.control import election, members
+from greengagemoor.control.commands import ApplyDocument
 from greengagemoor.control.documents import ApplyResult
 from greengagemoor.control.ledger import ClaimAnswer
-from greengagemoor.control.messages import (
-    ApplyDocument,
-    Confirmed,
-    OpKind,
-    OpReply,
-    Send,
-)
+from greengagemoor.control.messages import Confirmed, OpKind, OpReply, Send
 from greengagemoor.control.state import PendingOp, PendingRead, Role
 from greengagemoor.document import parse_document
 from greengagemoor.errors import DocumentError
--- a/greengagemoor/control/replication.py
+++ b/greengagemoor/control/replication.py
@@ -5,20 +5,20 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor.control import election
+from greengagemoor.control.commands import Snapshot
 from greengagemoor.control.log import Log
 from greengagemoor.control.messages import (
     AppendReply,
     AppendRequest,
     DocumentAccepted,
     InstallSnapshot,
-    Snapshot,
 )
 from greengagemoor.control.state import Applied, Role, note_replaced
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from greengagemoor.control.messages import LogEntry
+    from greengagemoor.control.commands import LogEntry
     from greengagemoor.control.state import Progress, State
 
 MOST_ENTRIES = 256
--- a/greengagemoor/control/state.py
+++ b/greengagemoor/control/state.py
@@ -14,14 +14,10 @@
 from greengagemoor.control.messages import HardState, Persist, Send
 
 if TYPE_CHECKING:
+    from greengagemoor.control.commands import LogEntry, Member, Snapshot
     from greengagemoor.control.documents import ApplyResult
     from greengagemoor.control.ledger import ClaimAnswer
-    from greengagemoor.control.messages import (
-        LogEntry,
-        Member,
-        OpKind,
-        Snapshot,
-    )
+    from greengagemoor.control.messages import OpKind
 
 
 class Role(enum.Enum):
--- a/greengagemoor/membership/decider.py
+++ b/greengagemoor/membership/decider.py
@@ -4,11 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from greengagemoor.control.messages import (
-    Confirmed,
-    DocumentAccepted,
-    Received,
-)
+from greengagemoor.control.messages import Confirmed, DocumentAccepted, Received
 from greengagemoor.membership import (
     addresses,
     announcements,
--- a/greengagemoor/node.py
+++ b/greengagemoor/node.py
@@ -9,6 +9,7 @@
 import attrs
 
 from greengagemoor.codes import Code
+from greengagemoor.control import commands
 from greengagemoor.control import messages as control
 from greengagemoor.control.client import Ask, ControlClient, Done
 from greengagemoor.control.decider import ControlDecider
@@ -238,7 +239,7 @@
         me = self.membership.state.me
         claim_id = f"{me.name}/{me.incarnation}/{msg.token}"
         self._claims[msg.token] = claim_id
-        command = control.Claim(
+        command = commands.Claim(
             caller=msg.caller,
             request_id=msg.request_id,
             claim_id=claim_id,
@@ -258,7 +259,7 @@
         claim_id = self._claims.pop(msg.token, None)
         if claim_id is None:
             return None
-        command = control.RecordOutcome(
+        command = commands.RecordOutcome(
             caller=msg.caller,
             request_id=msg.request_id,
             claim_id=claim_id,
--- a/greengagemoor/query/decider.py
+++ b/greengagemoor/query/decider.py
@@ -8,6 +8,7 @@
 from greengagemoor.query import (  # noqa: F401  (fills the registries)
     choosing,
     completion,
+    endings,
     messages,
     outcomes,
     placing,
@@ -82,12 +83,12 @@
     if query is None or query.phase is not Phase.CLAIMING:
         # The caller was told "not run" meanwhile. The ledger must hear it,
         # or a resend would be told that the request is in progress.
-        requests.release_claim(state, msg)
+        endings.release_claim(state, msg)
         return
     if msg.verdict is ClaimVerdict.GRANTED:
         requests.start_claimed(state, query, msg.send_before)
     else:
-        requests.end_unclaimed(state, query, msg)
+        endings.end_unclaimed(state, query, msg)
 
 
 def _expire_attempt(state: State, attempt_id: int) -> None:
@@ -107,7 +108,7 @@
 def _cut(state: State, query_id: int) -> None:
     query = state.tables.queries.get(query_id)
     if query is not None:
-        requests.settle(state, query)
+        endings.settle(state, query)
 
 
 def _dispatch(state: State, name: str) -> None:
@@ -118,7 +119,7 @@
 
 _HANDLERS: dict[type, Callable[[State, object], None]] = {
     messages.Request: requests.take,
-    messages.CallerGone: lambda s, m: requests.forget_waiter(s, m.token),
+    messages.CallerGone: lambda s, m: endings.forget_waiter(s, m.token),
     messages.AttemptAnswer: outcomes.take_answer,
     messages.AttemptFailed: outcomes.take_failure,
     messages.ServerChanged: servers.change,
@@ -129,7 +130,7 @@
 }
 
 _TIMERS: dict[TimerKind, Callable[[State, object], None]] = {
-    TimerKind.WAITER: requests.end_waiter,
+    TimerKind.WAITER: endings.end_waiter,
     TimerKind.CUT: _cut,
     TimerKind.HEDGE: _hedge,
     TimerKind.ATTEMPT: _expire_attempt,
--- a/greengagemoor/query/outcomes.py
+++ b/greengagemoor/query/outcomes.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor.backends import ServerState
-from greengagemoor.query import attempts, limits, requests, servers
+from greengagemoor.query import attempts, endings, limits, servers
 from greengagemoor.query.messages import AttemptFailed, Failure
 from greengagemoor.query.tables import Phase
 
@@ -87,7 +87,7 @@
     if lacking:
         _retry(state, attempt, lacking, ABSENT, free=False)
     _cancel_needless(state, query)
-    requests.settle(state, query)
+    endings.settle(state, query)
 
 
 def _cancel_needless(state: State, query: Query) -> None:
@@ -110,7 +110,7 @@
         _end_claimed(state, query)
         return
     if query.phase is not Phase.RUNNING or attempt.cancelled:
-        requests.settle(state, query)
+        endings.settle(state, query)
         return
     if attempt.snapshot == query.snapshot:
         _retry(
@@ -120,7 +120,7 @@
             msg.failure.value,
             free=msg.failure.is_not_run,
         )
-    requests.settle(state, query)
+    endings.settle(state, query)
 
 
 def _note_history(query: Query, failure: Failure) -> None:
@@ -201,6 +201,6 @@
 def _end_claimed(state: State, query: Query) -> None:
     """Ends a claimed query with its only attempt, and records the outcome."""
     if query.phase is Phase.DONE:
-        requests.record_late(state, query)
+        endings.record_late(state, query)
     else:
-        requests.finish(state, query)
+        endings.finish(state, query)
--- a/greengagemoor/query/placing.py
+++ b/greengagemoor/query/placing.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from greengagemoor.query import attempts, limits, requests
+from greengagemoor.query import attempts, endings, limits
 from greengagemoor.query.choosing import Choice
 from greengagemoor.query.tables import (
     AttemptKind,
@@ -60,7 +60,7 @@
 
 
 def _start(state: State, query: Query) -> None:
-    if requests.refuse_hopeless(state, query):
+    if endings.refuse_hopeless(state, query):
         return
     query.phase = Phase.RUNNING
     query.began = state.now
@@ -75,7 +75,7 @@
     if query.phase is not Phase.RUNNING or not query.unplaced:
         return
     if state.now >= query.send_before:
-        requests.finish(state, query)
+        endings.finish(state, query)
         return
     snapshot = query.service.snapshots.get(query.snapshot)
     placeable = [
@@ -85,7 +85,7 @@
     ]
     if not placeable:
         query.service.unplaced.pop(query.id, None)
-        requests.settle(state, query)
+        endings.settle(state, query)
         return
     plan = _plan(state, query, placeable)
     for name, shards in plan.items():
--- a/greengagemoor/query/servers.py
+++ b/greengagemoor/query/servers.py
@@ -8,7 +8,7 @@
 
 from greengagemoor.backends import ServerState
 from greengagemoor.codes import Code
-from greengagemoor.query import requests
+from greengagemoor.query import endings
 from greengagemoor.query.messages import DrainSeen
 from greengagemoor.query.snapshots import add_holder, remove_holder
 from greengagemoor.query.tables import Searcher, ServiceRow
@@ -154,4 +154,4 @@
 
 def _drop_service(state: State, row: ServiceRow) -> None:
     while (query := row.queue.pop()) is not None:
-        requests.drop(state, query, Code.NOT_RUN_UNKNOWN_SERVICE)
+        endings.drop(state, query, Code.NOT_RUN_UNKNOWN_SERVICE)
--- a/greengagemoor/query/snapshots.py
+++ b/greengagemoor/query/snapshots.py
@@ -9,7 +9,7 @@
 from greengagemoor.query.tables import Snapshot
 
 if TYPE_CHECKING:
-    from greengagemoor.query.tables import Searcher, ServiceRow
+    from greengagemoor.query.tables import Query, Searcher, ServiceRow
 
 
 def add_holder(service: ServiceRow, searcher: Searcher) -> None:
@@ -81,3 +81,16 @@
         return tuple(range(snapshot.shard_count))
     digest = hashlib.blake2b(key.encode(), digest_size=8).digest()
     return (int.from_bytes(digest) % snapshot.shard_count,)
+
+
+def pin(query: Query) -> bool:
+    """Pins a query to a snapshot; False when none has a holder."""
+    floor = query.request.least_snapshot
+    least = query.cls.least_coverage
+    snapshot = pick_snapshot(query.service, least, floor)
+    if snapshot is None:
+        return False
+    query.snapshot = snapshot.version
+    query.shard_count = snapshot.shard_count
+    query.needed = shards_for(snapshot, query.request.key)
+    return True
--- a/greengagemoor/shell/routes.py
+++ b/greengagemoor/shell/routes.py
@@ -11,7 +11,8 @@
 
 from greengagemoor.codes import CODE_TABLE, Code
 from greengagemoor.control.client import Ask
-from greengagemoor.control.messages import ApplyDocument, OpKind
+from greengagemoor.control.commands import ApplyDocument
+from greengagemoor.control.messages import OpKind
 from greengagemoor.errors import InvalidInputError
 from greengagemoor.membership.messages import Announce, AskAddresses
 from greengagemoor.query.messages import Request
--- a/greengagemoor/storage/store.py
+++ b/greengagemoor/storage/store.py
@@ -6,13 +6,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from greengagemoor.control.messages import (
-    HardState,
-    LogEntry,
-    Persist,
-    Recovered,
-    Snapshot,
-)
+from greengagemoor.control.commands import LogEntry, Snapshot
+from greengagemoor.control.messages import HardState, Persist, Recovered
 from greengagemoor.errors import (
     CorruptRecordError,
     SyncFailedError,
--- a/greengagemoor/wire/codec.py
+++ b/greengagemoor/wire/codec.py
@@ -12,6 +12,7 @@
 from google.protobuf.message import DecodeError
 
 from greengagemoor import backends
+from greengagemoor.control import commands
 from greengagemoor.control import messages as control
 from greengagemoor.errors import WireError
 from greengagemoor.membership import messages as membership
@@ -23,7 +24,7 @@
 
     from google.protobuf.message import Message
 
-_SOURCES = (backends, control, membership, rows)
+_SOURCES = (backends, commands, control, membership, rows)
 
 
 def _snake(name: str) -> str:
--- a/tests/test_control/helpers.py
+++ b/tests/test_control/helpers.py
@@ -6,7 +6,8 @@
 
 from greengagemoor.codes import Code
 from greengagemoor.control.client import Ask, Done
-from greengagemoor.control.messages import ApplyDocument, OpKind
+from greengagemoor.control.commands import ApplyDocument
+from greengagemoor.control.messages import OpKind
 from tests.fakes import FakeFleet
 
 GROUP = ("c1", "c2", "c3")
--- a/tests/test_control/test_apply.py
+++ b/tests/test_control/test_apply.py
@@ -361,7 +361,8 @@
 def apply_text(operator: Operator, apply_id: str, replaces: int, text: str):
     """Applies this text at c1."""
     from greengagemoor.control.client import Ask
-    from greengagemoor.control.messages import ApplyDocument, OpKind
+    from greengagemoor.control.commands import ApplyDocument
+    from greengagemoor.control.messages import OpKind
 
     token = f"{apply_id}/{operator.fleet.now}"
     command = ApplyDocument(apply_id, replaces, text, 0.0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,7 +5,8 @@
 import attrs
 
 from greengagemoor.control.client import Ask
-from greengagemoor.control.messages import ApplyDocument, OpKind
+from greengagemoor.control.commands import ApplyDocument
+from greengagemoor.control.messages import OpKind
 from greengagemoor.membership.messages import Announce, AskAddresses
 from greengagemoor.query.messages import Request
 from tests.fakes import DOCUMENT, FakeFleet, answer_to, server, story
--- a/tests/test_storage/test_store.py
+++ b/tests/test_storage/test_store.py
@@ -7,14 +7,13 @@
 
 import pytest
 
-from greengagemoor.control.messages import (
+from greengagemoor.control.commands import (
     ApplyDocument,
-    HardState,
     LogEntry,
     NoOp,
-    Persist,
     Snapshot,
 )
+from greengagemoor.control.messages import HardState, Persist
 from greengagemoor.errors import (
     CorruptRecordError,
     FolderLockedError,
