A failing listener takes no answer along; metrics before the answer

Found by a flaky test: the caller's thread could run before the listeners and the metrics of its answer. Metrics now come first; the test waits for the listener. While reading it: one handler that raised ended the handling of all messages of its tick; each is guarded by itself now. Claims and status moved out of the node and the application.

--- a/greengagemoor/application.py
+++ b/greengagemoor/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 import threading
 import time
 from typing import TYPE_CHECKING, Any
@@ -21,7 +22,7 @@
 from greengagemoor.node import CloseEntry, Node, StartUp
 from greengagemoor.query import messages as query
 from greengagemoor.query.decider import QueryDecider
-from greengagemoor.shell import routes
+from greengagemoor.shell import routes, status
 from greengagemoor.shell.clock import Clock
 from greengagemoor.shell.disk import DiskWriter
 from greengagemoor.shell.dispatch import Dispatcher
@@ -87,8 +88,6 @@
 
     def add_route(self, method: str, pattern: str, handler: Callable) -> None:
         """Adds an HTTP path; ``handler`` takes a ``routes.HttpRequest``."""
-        import re
-
         self.routes.append(routes.Route(method, re.compile(pattern), handler))
 
     def add_listener(self, name: str, listener: Callable[[Any], None]) -> None:
@@ -170,8 +169,8 @@
         add(query.ControlReady, self._note_control)
 
     def _take_reply(self, reply: query.Reply) -> None:
-        self._replies.give(reply.token, reply)
         self.metrics.note_reply(reply)
+        self._replies.give(reply.token, reply)
         log.event(
             "answer",
             level="DEBUG",
@@ -296,49 +295,15 @@
 
     def status(self) -> dict[str, Any]:
         """Returns what ``/v1/status`` shows."""
-        state = self.node.membership.state
-        fresh_s = self.clock.now() - state.fresh_at
-        return {
-            "instance": state.me.name,
-            "state": state.me.state.value,
-            "data_centre": state.me.data_centre,
-            "roles": list(state.me.roles),
-            "document_version": state.document_version,
-            "confirmed": state.confirmed,
-            "control_ready": state.control_ready,
-            "control_heard_s_ago": round(min(fresh_s, 1e9), 3),
-            "instances": {
-                row.name: row.state.value
-                for row in list(state.table.live_instances.values())
-            },
-            "backend_servers": {
-                key: server.state.value
-                for key, (server, _) in list(state.shown.items())
-            },
-        }
+        return status.describe(self.node, self.clock.now())
 
     def gauges(self) -> dict[str, float]:
         """Returns numbers of the moment for ``/metrics``."""
-        state = self.node.membership.state
-        gauges = {
-            "instances": len(state.table.live_instances),
-            "backend_servers": len(state.shown),
-            "document_version": state.document_version,
+        gauges = status.gauges(self.node) | {
             "tick_failures_total": self._loop.failures,
             "peer_bytes_sent_total": self._peers.sent_bytes,
             "peer_batches_sent_total": self._peers.sent_batches,
         }
-        if self.node.query is not None:
-            counters = self.node.query.state.counters
-            gauges |= {
-                "attempts_total": counters.attempts,
-                "hedged_shards_total": counters.hedge_shards,
-                "retried_shards_total": counters.retry_shards,
-                "cancelled_attempts_total": counters.cancelled,
-                "late_answers_total": counters.late_answers,
-                "joined_requests_total": counters.joined,
-                "refused_requests_total": counters.refused,
-            }
         if self._disk is not None:
             gauges["disk_syncs_total"] = self._disk.syncs
         return gauges
--- a/greengagemoor/node.py
+++ b/greengagemoor/node.py
@@ -8,8 +8,8 @@
 
 import attrs
 
+from greengagemoor.claims import Claims, ClaimToken, OutcomeToken
 from greengagemoor.codes import Code
-from greengagemoor.control import commands
 from greengagemoor.control import messages as control
 from greengagemoor.control.client import Ask, ControlClient, Done
 from greengagemoor.control.decider import ControlDecider
@@ -19,15 +19,10 @@
 from greengagemoor.membership.rows import InstanceRow
 from greengagemoor.query import messages as query
 from greengagemoor.query.decider import QueryDecider
-from greengagemoor.query.messages import ClaimVerdict
-from greengagemoor.util.request_ids import issue_time
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-CLAIM_WAIT_S = 1.5
-CLAIM_VALID_S = 10.0
-OUTCOME_WAIT_S = 60.0
 READ_WAIT_S = 2.0
 READ_AGAIN_S = 0.25
 MOST_HEARD_FROM = 4096
@@ -44,24 +39,11 @@
     """Refuse new requests from now on; finish what runs."""
 
 
-@attrs.frozen
-class _ClaimToken:
-    token: int
-    caller: str
-    request_id: str
-    send_before: float
-
-
 @attrs.frozen
 class _ReadToken:
     pass
 
 
-@attrs.frozen
-class _OutcomeToken:
-    pass
-
-
 class Node:
     """Routes messages between the deciders of one process.
 
@@ -83,7 +65,7 @@
         self.control = control_decider
         self.client = ControlClient(control_targets, rng)
         self._first_targets = set(control_targets)
-        self._claims: dict[int, str] = {}
+        self._claims = Claims()
         self._heard_from: dict[str, str] = {}
         self._out: list = []
         self._now = 0.0
@@ -197,9 +179,10 @@
         elif isinstance(msg, _TO_MEMBERSHIP):
             inboxes.membership.append(msg)
         elif isinstance(msg, query.ClaimWanted):
-            inboxes.client.append(self._ask_claim(msg))
+            me = self.membership.state.me
+            inboxes.client.append(self._claims.ask(me, self._now, msg))
         elif isinstance(msg, query.OutcomeKnown):
-            ask = self._ask_outcome(msg)
+            ask = self._claims.record(self._now, msg)
             if ask is not None:
                 inboxes.client.append(ask)
         elif isinstance(msg, Done):
@@ -235,49 +218,15 @@
             return row.peer_address
         return self._heard_from.get(name) or state.seeds.get(name, "")
 
-    def _ask_claim(self, msg: query.ClaimWanted) -> Ask:
-        me = self.membership.state.me
-        claim_id = f"{me.name}/{me.incarnation}/{msg.token}"
-        self._claims[msg.token] = claim_id
-        command = commands.Claim(
-            caller=msg.caller,
-            request_id=msg.request_id,
-            claim_id=claim_id,
-            issued_at=issue_time(msg.request_id) or 0.0,
-            valid_for_s=CLAIM_VALID_S,
-            time=self._now,
-        )
-        token = _ClaimToken(
-            token=msg.token,
-            caller=msg.caller,
-            request_id=msg.request_id,
-            send_before=self._now + CLAIM_VALID_S,
-        )
-        return Ask(token, OpKind.CLAIM, self._now + CLAIM_WAIT_S, command)
-
-    def _ask_outcome(self, msg: query.OutcomeKnown) -> Ask | None:
-        claim_id = self._claims.pop(msg.token, None)
-        if claim_id is None:
-            return None
-        command = commands.RecordOutcome(
-            caller=msg.caller,
-            request_id=msg.request_id,
-            claim_id=claim_id,
-            code=int(msg.code),
-            outcome=msg.outcome,
-            time=self._now,
-        )
-        deadline = self._now + OUTCOME_WAIT_S
-        return Ask(_OutcomeToken(), OpKind.OUTCOME, deadline, command)
-
     def _route_done(self, msg: Done, inboxes: _Inboxes) -> None:
         if isinstance(msg.token, _ReadToken):
             self._take_read(msg, inboxes)
-        elif isinstance(msg.token, _ClaimToken):
-            inboxes.query.append(self._claim_decided(msg))
-            if msg.reply.verdict != ClaimVerdict.GRANTED.value:
-                self._drop_claim(msg, inboxes)
-        elif not isinstance(msg.token, _OutcomeToken):
+        elif isinstance(msg.token, ClaimToken):
+            inboxes.query.append(self._claims.decided(msg))
+            ask = self._claims.give_back(self._now, msg)
+            if ask is not None:
+                inboxes.client.append(ask)
+        elif not isinstance(msg.token, OutcomeToken):
             self._out.append(msg)
 
     def _take_read(self, msg: Done, inboxes: _Inboxes) -> None:
@@ -287,38 +236,6 @@
         read = membership.CurrentRead(msg.reply.version, msg.reply.text)
         inboxes.membership.append(read)
 
-    def _drop_claim(self, msg: Done, inboxes: _Inboxes) -> None:
-        """Takes a claim back that may still be granted after we gave it up."""
-        token: _ClaimToken = msg.token
-        if not msg.maybe:
-            self._claims.pop(token.token, None)
-            return
-        released = query.OutcomeKnown(
-            token=token.token,
-            caller=token.caller,
-            request_id=token.request_id,
-            code=Code.NOT_RUN_NO_CONTROL,
-            outcome="",
-        )
-        inboxes.client.append(self._ask_outcome(released))
-
-    def _claim_decided(self, msg: Done) -> query.ClaimDecided:
-        token: _ClaimToken = msg.token
-        granted = msg.reply.code == Code.ACCEPTED
-        verdict = (
-            ClaimVerdict(msg.reply.verdict)
-            if granted
-            else ClaimVerdict.UNAVAILABLE
-        )
-        return query.ClaimDecided(
-            token=token.token,
-            caller=token.caller,
-            request_id=token.request_id,
-            verdict=verdict,
-            send_before=token.send_before,
-            outcome=msg.reply.text,
-        )
-
 
 @attrs.define
 class _Inboxes:
--- a/greengagemoor/shell/loop.py
+++ b/greengagemoor/shell/loop.py
@@ -58,16 +58,12 @@
             # One message that no decider can digest must not end the requests
             # of all others: the tick is logged and counted, and ticks go on.
             try:
-                self._act(self._node.step(self._clock.now(), msgs))
+                out = self._node.step(self._clock.now(), msgs)
             except Exception as exc:
-                self.failures += 1
-                log.event(
-                    "tick_failed",
-                    level="ERROR",
-                    reason=repr(exc),
-                    where=log.where(exc),
-                )
-                self._events.emit(events.TICK_FAILED, exc)
+                self._note_failure(exc)
+                continue
+            for msg in out:
+                self._act(msg)
 
     def _collect(self) -> list[object]:
         wait = self._node.next_wake() - self._clock.now()
@@ -82,8 +78,26 @@
             pass
         return [msg for msg in msgs if msg is not None]
 
-    def _act(self, out: list[object]) -> None:
-        for msg in out:
-            handler = self._handlers.get(type(msg))
-            if handler is not None:
-                handler(msg)
+    def _act(self, msg: object) -> None:
+        """Acts on one message; a failure leaves the others of its tick alone.
+
+        A listener of an embedder may raise, and the same tick may hold the
+        answers of many callers.
+        """
+        handler = self._handlers.get(type(msg))
+        if handler is None:
+            return
+        try:
+            handler(msg)
+        except Exception as exc:
+            self._note_failure(exc)
+
+    def _note_failure(self, exc: Exception) -> None:
+        self.failures += 1
+        log.event(
+            "tick_failed",
+            level="ERROR",
+            reason=repr(exc),
+            where=log.where(exc),
+        )
+        self._events.emit(events.TICK_FAILED, exc)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -6,10 +6,10 @@
 
 import pytest
 
+from greengagemoor.claims import CLAIM_VALID_S
 from greengagemoor.codes import Code
 from greengagemoor.control.messages import OpKind, OpRequest, Send
 from greengagemoor.membership.messages import Announce
-from greengagemoor.node import CLAIM_VALID_S
 from greengagemoor.query.messages import Reply, Request, StartAttempt
 from tests.fakes import answer_to, server
 from tests.test_node import start_fleet
--- a/tests/test_shell/test_http.py
+++ b/tests/test_shell/test_http.py
@@ -237,8 +237,35 @@
         heard = []
         app.add_listener(events.ANSWERED, heard.append)
         client.call("POST", ASK, {**REQUEST, "request_class": "none"})
+        wait_for("the listener", lambda: heard)
         assert isinstance(heard[-1], Reply)
 
+    def test_listener_that_raises_takes_no_answer_along(self, client, app):
+        """Answers lost to a listener.
+
+        Symptom: callers time out after an embedder added a listener.
+        Sequence: the listener raises; the answers of other callers come out
+        of the same tick.
+        Cause: the first failure ends the handling of the tick.
+        """
+
+        def fail(_):
+            raise RuntimeError("listener")
+
+        app.add_listener(events.ANSWERED, fail)
+        codes = []
+        body = {**REQUEST, "request_class": "none"}
+
+        def ask() -> None:
+            codes.append(client.call("POST", ASK, body)[1]["code"])
+
+        threads = [threading.Thread(target=ask) for _ in range(WAITING)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert codes == [206] * WAITING
+
     def test_series_for_caller_and_class(self, client):
         client.call("POST", ASK, {**REQUEST, "deadline_s": 0.05})
         rows = client.call("GET", "/v1/histograms")[1]["rows"]
