--- a/bench/costs.py
+++ b/bench/costs.py
@@ -8,6 +8,7 @@
 
 import os
 import random
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -31,6 +32,7 @@
 RATES = (25.0, 50.0, 100.0, 200.0)
 DECIDER_QUERIES = 3000
 IDLE_S = 5.0
+FLEETS = (6, 12, 24)
 
 
 def processor_s(pid: int) -> float:
@@ -97,18 +99,87 @@
 
 def attempts_of(fleet: Fleet, http: str) -> int:
     """Returns how many attempts an entry has started."""
+    return int(_metric(fleet, http, "greengagemoor_attempts_total"))
+
+
+def _metric(fleet: Fleet, http: str, name: str) -> float:
     text = fleet.http.request("GET", f"http://{http}/metrics").data.decode()
     for line in text.splitlines():
-        if line.startswith("greengagemoor_attempts_total"):
-            return int(float(line.split()[1]))
-    raise LookupError("no attempts_total")
+        if line.startswith(name):
+            return float(line.split()[1])
+    raise LookupError(name)
 
 
 def main() -> None:
-    """Prints all figures."""
-    print(f"query decider alone: {decider_us_per_attempt():.0f} us an attempt")
-    with tempfile.TemporaryDirectory() as name, Fleet(Path(name)) as fleet:
-        _measure_processes(fleet)
+    """Prints all figures, or those of the idle fleets only ("fleets")."""
+    if "fleets" not in sys.argv:
+        print(f"query decider: {decider_us_per_attempt():.0f} us an attempt")
+        with tempfile.TemporaryDirectory() as name, Fleet(Path(name)) as fleet:
+            _measure_processes(fleet)
+    for entries in FLEETS:
+        with tempfile.TemporaryDirectory() as name, Fleet(Path(name)) as fleet:
+            _measure_fleet(fleet, entries)
+
+
+def _measure_fleet(fleet: Fleet, entries: int) -> None:
+    """Measures idle processes that only keep their tables equal."""
+    names = [f"control-{i}" for i in range(3)]
+    names += [f"entry-{i}" for i in range(entries)]
+    ports = iter(free_addresses(2 * len(names)))
+    http = {name: next(ports) for name in names}
+    peer = {name: next(ports) for name in names}
+    group = [{"instance": n, "address": peer[n]} for n in names[:3]]
+    for name in names:
+        own = (
+            {
+                "roles": ["control"],
+                "new_group": True,
+                "data_folder": str(fleet.folder / name),
+            }
+            if name in names[:3]
+            else {}
+        )
+        fleet.start_instance(
+            name,
+            data_centre=f"dc-{int(name.rpartition('-')[2]) % 3}",
+            http_address=http[name],
+            peer_address=peer[name],
+            control_group=group,
+            gossip_interval_s=1.0,
+            addresses_valid_s=0.1,
+            leave_margin_s=0.0,
+            **own,
+        )
+    wait_for(
+        "all to know all",
+        lambda: all(
+            len((fleet.get(http[n], "/v1/status") or {}).get("instances", ()))
+            == len(names)
+            for n in names
+        ),
+        120.0,
+    )
+    time.sleep(IDLE_S)
+    pids = {name: fleet.processes[name].pid for name in names}
+    before = {
+        n: (processor_s(p), _sent(fleet, http[n])) for n, p in pids.items()
+    }
+    time.sleep(2 * IDLE_S)
+    for what, part in (("control", names[:3]), ("entry", names[3:])):
+        used = sum(processor_s(pids[n]) - before[n][0] for n in part)
+        sent = sum(_sent(fleet, http[n]) - before[n][1] for n in part)
+        seconds = 2 * IDLE_S * len(part)
+        megabytes = sum(memory_mb(pids[n]) for n in part) / len(part)
+        print(
+            f"{len(names)} processes idle, {what}: "
+            f"{100 * used / seconds:.2f}% of a core, "
+            f"{sent / seconds:.0f} B/s of messages, {megabytes:.1f} MB",
+            flush=True,
+        )
+
+
+def _sent(fleet: Fleet, http: str) -> float:
+    return _metric(fleet, http, "greengagemoor_peer_bytes_sent_total")
 
 
 def _measure_processes(fleet: Fleet) -> None:
--- a/greengagemoor/control/replication.py
+++ b/greengagemoor/control/replication.py
@@ -227,9 +227,14 @@
 
 
 def _snapshot_when_due(state: State) -> None:
-    """Keeps log, folder and restart time bounded."""
+    """Keeps log, folder and restart time bounded.
+
+    A snapshot costs time in what exists, so a large ledger gets one after as
+    many entries as it has rows: the cost for each entry stays the same.
+    """
     taken = state.snapshot.index if state.snapshot else 0
-    if state.applied - taken < SNAPSHOT_EVERY:
+    due = max(SNAPSHOT_EVERY, len(state.machine.ledger))
+    if state.applied - taken < due:
         return
     state.snapshot = Snapshot(
         index=state.applied,
