--- a/greengagemoor/membership/messages.py
+++ b/greengagemoor/membership/messages.py
@@ -37,11 +37,11 @@
 
 
 @attrs.frozen
-class Probe:
-    """One anti-entropy exchange, which is also a liveness probe.
+class Exchange:
+    """What both sides of a probe tell each other.
 
     Attributes:
-        number: echoed in the ``Ack``.
+        number: the prober's number of this exchange.
         root: digest over all live rows.
         document_version: what the sender has in force.
         relay_for: instance that asked for this probe, or ''.
@@ -58,16 +58,13 @@
 
 
 @attrs.frozen
-class Ack:
-    """Answers a ``Probe``, with the answerer's news."""
+class Probe(Exchange):
+    """One anti-entropy exchange, which is also a liveness probe."""
 
-    number: int
-    root: int
-    document_version: int
-    fresh: Freshness
-    rows: Rows
-    relay_for: str = ""
-    relay_number: int = 0
+
+@attrs.frozen
+class Ack(Exchange):
+    """Answers a ``Probe``, with the answerer's news."""
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_cmd/test_programs.py
@@ -0,0 +1,75 @@
+"""The programs as operators use them: help, checks and exit codes."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+import typer
+from typer.testing import CliRunner
+
+from greengagemoor.cmd import ctl, daemon
+
+RUNNER = CliRunner()
+NOBODY = "127.0.0.1:1"
+
+
+@pytest.fixture
+def daemon_app():
+    app = typer.Typer()
+    app.command()(daemon.run)
+    return app
+
+
+class TestDaemon:
+    """``greengagemoord``."""
+
+    def test_check_says_every_fault_with_its_path(self, daemon_app, tmp_path):
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps({"instance": "e1", "seed": "x"}))
+        result = RUNNER.invoke(daemon_app, [str(path), "--check"])
+        assert result.exit_code == daemon.EXIT_INVALID
+        assert "$.seed" in result.output
+        assert "http_address" in result.output
+
+    def test_check_of_a_good_file(self, daemon_app, tmp_path):
+        path = tmp_path / "settings.json"
+        good = {
+            "instance": "e1",
+            "data_centre": "dc1",
+            "http_address": "127.0.0.1:8001",
+            "peer_address": "127.0.0.1:9001",
+        }
+        path.write_text(json.dumps(good))
+        result = RUNNER.invoke(daemon_app, [str(path), "--check"])
+        assert result.exit_code == 0
+        assert "valid" in result.output
+
+    def test_missing_file(self, daemon_app, tmp_path):
+        result = RUNNER.invoke(daemon_app, [str(tmp_path / "none.json")])
+        assert result.exit_code == daemon.EXIT_INVALID
+
+
+class TestCtl:
+    """``greengagemoorctl``."""
+
+    def test_invalid_document_is_refused_before_it_is_sent(self, tmp_path):
+        path = tmp_path / "document.json"
+        path.write_text('{"entries": ["e", "e"], "colour": 1}')
+        result = RUNNER.invoke(ctl.app, ["apply", str(path), "--at", NOBODY])
+        assert result.exit_code == ctl.Exit.INVALID
+        assert "colour" in result.output
+
+    def test_nobody_answers(self):
+        result = RUNNER.invoke(ctl.app, ["status", "--at", NOBODY])
+        assert result.exit_code == ctl.Exit.UNREACHABLE
+
+    def test_help_names_every_command(self):
+        result = RUNNER.invoke(ctl.app, ["--help"])
+        commands = ("apply", "show", "diff", "status", "members", "request")
+        assert all(command in result.output for command in commands)
+
+    def test_settings_are_explained(self):
+        result = RUNNER.invoke(ctl.app, ["explain-settings"])
+        assert "http_address (required)" in result.output
+        assert "election_s (1.0)" in result.output
