--- /dev/null
+++ b/bench/mutant_list.py
@@ -0,0 +1,336 @@
+"""The mutants: protections, and the tests that must fail without them."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Mutant:
+    """One protection taken out.
+
+    Attributes:
+        promise: which promise it serves, as docs/PROOFS.md names it.
+        file: below greengagemoor/.
+        old: text that is replaced, once.
+        new: what stands there instead.
+        tests: pytest node ids that must fail.
+    """
+
+    promise: str
+    file: str
+    old: str
+    new: str
+    tests: tuple[str, ...]
+
+
+QUERY = "tests/test_query/"
+CONTROL = "tests/test_control/test_apply.py::"
+REPAIR = "tests/test_control/test_repair.py::"
+MEMBERSHIP = "tests/test_membership/"
+ONCE = "tests/test_at_most_once.py::"
+
+MUTANTS = (
+    Mutant(
+        "one snapshot",
+        "query/outcomes.py",
+        "if attempt.snapshot != query.snapshot:",
+        "if False:",
+        (QUERY + "test_snapshots.py::TestOneSnapshot",),
+    ),
+    Mutant(
+        "one snapshot",
+        "query/endings.py",
+        "    query.reflected.clear()\n",
+        "",
+        (QUERY + "test_snapshots.py::TestOneSnapshot",),
+    ),
+    Mutant(
+        "true coverage: conflicting shard counts",
+        "query/snapshots.py",
+        "        and not snapshot.in_conflict\n",
+        "",
+        (QUERY + "test_snapshots.py",),
+    ),
+    Mutant(
+        "true coverage: shard without a replica",
+        "query/snapshots.py",
+        "return tuple(range(snapshot.shard_count))",
+        "return tuple(snapshot.holders)",
+        (QUERY + "test_outcomes.py::TestCoverage",),
+    ),
+    Mutant(
+        "own answer: echo",
+        "query/outcomes.py",
+        "    if not _echoes(attempt, msg):",
+        "    if False:",
+        (QUERY + "test_outcomes.py::TestCoverage",),
+    ),
+    Mutant(
+        "own answer: rivals",
+        "query/requests.py",
+        "owner = None if query.cls.share_answers else request.caller",
+        "owner = None",
+        (QUERY + "test_outcomes.py::TestOwnAnswer",),
+    ),
+    Mutant(
+        "not run is true",
+        "query/outcomes.py",
+        "    elif not failure.is_not_run:\n        query.may_have_run = True",
+        "    elif not failure.is_not_run:\n        pass",
+        (QUERY + "test_outcomes.py::TestNotRun",),
+    ),
+    Mutant(
+        "not run is true: attempt still due",
+        "query/answers.py",
+        "if query.may_have_run or any(True for attempt in "
+        "query.attempts.values()):",
+        "if query.may_have_run:",
+        (QUERY + "test_outcomes.py::TestNotRun",),
+    ),
+    Mutant(
+        "given up at once",
+        "query/endings.py",
+        "    elif not _pending(query) and not _has_holder(query):",
+        "    elif False:",
+        (QUERY + "test_outcomes.py::TestGivenUp",),
+    ),
+    Mutant(
+        "drain acts at once",
+        "query/outcomes.py",
+        "    if msg.server_state is ServerState.DRAINING:\n"
+        "        servers.drain(state, attempt.searcher)\n"
+        "    if _is_current",
+        "    if _is_current",
+        (QUERY + "test_snapshots.py::TestLeaving",),
+    ),
+    Mutant(
+        "connection caps: cancelled attempts count",
+        "query/attempts.py",
+        "    attempt.cancelled = True\n",
+        "    attempt.cancelled = True\n    attempt.searcher.in_flight -= 1\n",
+        (QUERY + "test_outcomes.py::TestExtraWork",),
+    ),
+    Mutant(
+        "spike: fair turns",
+        "query/fairqueue.py",
+        "        lane.setdefault(query.request.caller, deque()).append(query)",
+        '        lane.setdefault("", deque()).append(query)',
+        (QUERY + "test_admission.py",),
+    ),
+    Mutant(
+        "spike: refuse late",
+        "query/admission.py",
+        "    if cls.refuse_late and needed > remaining:",
+        "    if False:",
+        (QUERY + "test_admission.py",),
+    ),
+    Mutant(
+        "hedges off under overload",
+        "query/placing.py",
+        "    if not query.service.is_overloaded:\n        _start_hedges",
+        "    if True:\n        _start_hedges",
+        (QUERY + "test_outcomes.py::TestExtraWork",),
+    ),
+    Mutant(
+        "retries within a budget",
+        "query/budget.py",
+        "        self.tokens -= shards\n",
+        "",
+        (QUERY + "test_outcomes.py::TestExtraWork",),
+    ),
+    Mutant(
+        "accepted is for ever: quorum synced",
+        "control/replication.py",
+        "    index = matches[len(matches) // 2]",
+        "    index = matches[0]",
+        (CONTROL + "TestAcceptedIsForever",),
+    ),
+    Mutant(
+        "accepted is for ever: reads ask a quorum",
+        "control/operations.py",
+        "    return rounds[len(rounds) // 2]",
+        "    return rounds[0]",
+        (CONTROL + "TestAcceptedIsForever",),
+    ),
+    Mutant(
+        "apply: first result for a resend",
+        "control/documents.py",
+        "        if known is not None:\n            return known",
+        "        if False:\n            return known",
+        (CONTROL + "TestResend",),
+    ),
+    Mutant(
+        "elections are quiet: pre-vote",
+        "control/election.py",
+        "            _campaign(state, pre=True)",
+        "            _campaign(state, pre=False)",
+        (REPAIR + "TestElections",),
+    ),
+    Mutant(
+        "repair: no second group",
+        "control/members.py",
+        "        and all(state.join_replies.get(name) == "
+        '"" for name in state.peers)\n',
+        "",
+        (REPAIR + "TestRepair",),
+    ),
+    Mutant(
+        "repair: votes only when whole",
+        "control/members.py",
+        "    return recent and progress.match_index >= state.commit",
+        "    return recent",
+        (
+            REPAIR + "TestRepair",
+            "tests/test_control/test_state_machine.py",
+        ),
+    ),
+    Mutant(
+        "connection caps: names and places in one lease",
+        "control/documents.py",
+        "        if len(names) <= places:",
+        "        if True:",
+        (CONTROL + "TestShares",),
+    ),
+    Mutant(
+        "recovery: damage is refused",
+        "storage/records.py",
+        "            _refuse_if_followed(data, offset)\n",
+        "",
+        ("tests/test_storage",),
+    ),
+    Mutant(
+        "recovery: failed sync",
+        "storage/store.py",
+        "        if self._broken:\n",
+        "        if False:\n",
+        ("tests/test_storage",),
+    ),
+    Mutant(
+        "recovery: whole generations",
+        "storage/store.py",
+        "        self._start_generation(generation, _records_of(operation))\n"
+        "        old.close()\n        self._remove_older()",
+        "        self._generation = generation\n        self._remove_older()\n"
+        "        self._start_generation(generation, _records_of(operation))\n"
+        "        old.close()",
+        ("tests/test_storage",),
+    ),
+    Mutant(
+        "recovery: lock",
+        "storage/folder.py",
+        "            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)",
+        "            pass",
+        ("tests/test_storage",),
+    ),
+    Mutant(
+        "at most once: claim before the send",
+        "control/ledger.py",
+        "        if self.time < row.ends:\n"
+        "            return ClaimAnswer(ClaimVerdict.IN_PROGRESS)\n",
+        "",
+        (ONCE + "TestResend", ONCE + "TestKilledEntry"),
+    ),
+    Mutant(
+        "at most once: one claim wins",
+        "control/ledger.py",
+        "        if row is None:\n            return self._grant(key, command)",
+        "        if row is None or row.code is None:\n"
+        "            return self._grant(key, command)",
+        (ONCE + "TestResend",),
+    ),
+    Mutant(
+        "at most once: old ids",
+        "control/ledger.py",
+        "        if command.issued_at < oldest:",
+        "        if False:",
+        (ONCE + "TestResend",),
+    ),
+    Mutant(
+        "at most once: frozen past the claim's end",
+        "query/placing.py",
+        "    if state.now >= query.send_before:",
+        "    if False:",
+        (QUERY + "test_claims.py",),
+    ),
+    Mutant(
+        "without a quorum: claims are refused at once",
+        "query/requests.py",
+        "    if not state.control_ready:",
+        "    if False:",
+        (MEMBERSHIP + "test_cuts.py::TestStaleEntry",),
+    ),
+    Mutant(
+        "restarted entry reads from a quorum",
+        "membership/state.py",
+        "return 0 <= self.read_version <= self.document_version",
+        "return self.document_version > 0",
+        (MEMBERSHIP + "test_cuts.py::TestStaleEntry",),
+    ),
+    Mutant(
+        "announcements: order",
+        "membership/announcements.py",
+        "        return server.order < kept.server.order",
+        "        return False",
+        (MEMBERSHIP + "test_announcements.py::TestOrder",),
+    ),
+    Mutant(
+        "announcements: silence",
+        "membership/wards.py",
+        "    _lose(state, key)\n    return None",
+        "    return None",
+        (MEMBERSHIP + "test_announcements.py::TestSilence",),
+    ),
+    Mutant(
+        "announcements: guardians die together",
+        "membership/wards.py",
+        "            state.hidden.add(key)\n",
+        "",
+        (MEMBERSHIP + "test_announcements.py::TestSilence",),
+    ),
+    Mutant(
+        "cuts: a guardian overrules lost",
+        "membership/wards.py",
+        "        _refute(state, row)\n",
+        "        pass\n",
+        (
+            MEMBERSHIP + "test_cuts.py",
+            MEMBERSHIP + "test_state_machine.py",
+        ),
+    ),
+    Mutant(
+        "cuts: lost instances are probed",
+        "membership/gossip.py",
+        "        _probe_lost(state)\n",
+        "        pass\n",
+        (MEMBERSHIP + "test_cuts.py", MEMBERSHIP + "test_addresses.py"),
+    ),
+    Mutant(
+        "drain is final within an incarnation",
+        "membership/table.py",
+        "    if drained and same and opens:",
+        "    if False:",
+        (MEMBERSHIP + "test_announcements.py::TestDrain",),
+    ),
+    Mutant(
+        "addresses: never none",
+        "membership/addresses.py",
+        "    (InstanceState.OVERLOADED,),\n",
+        "",
+        (MEMBERSHIP + "test_addresses.py",),
+    ),
+    Mutant(
+        "connection caps: share lease",
+        "membership/documents.py",
+        "    may_hold = state.confirmed and unheard < SHARE_LEASE_S",
+        "    may_hold = state.confirmed",
+        (MEMBERSHIP + "test_shares.py",),
+    ),
+    Mutant(
+        "shutdown: what runs is finished",
+        "application.py",
+        '        log.event("leaving", instance=self.cfg.instance)\n',
+        "        import os\n\n        os._exit(0)\n",
+        ("tests/test_processes.py::TestShutdown",),
+    ),
+)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -11,8 +11,6 @@
 from greengagemoor.backends import BackendServer, HeldVersion, ServerState
 from greengagemoor.control.decider import ControlDecider
 from greengagemoor.control.messages import (
-    AppendReply,
-    AppendRequest,
     Persist,
     Persisted,
     Received,
@@ -21,7 +19,6 @@
 )
 from greengagemoor.control.state import Timing as ControlTiming
 from greengagemoor.membership.decider import MembershipDecider
-from greengagemoor.membership.messages import Ack, Probe
 from greengagemoor.membership.rows import InstanceRow, InstanceState
 from greengagemoor.membership.state import Timing as MembershipTiming
 from greengagemoor.node import Node, StartUp
@@ -315,34 +312,3 @@
 @attrs.frozen
 class _Sync:
     operation: Persist
-
-
-def _is_noise(msg: object) -> bool:
-    if not isinstance(msg, Send):
-        return False
-    payload = msg.payload
-    if isinstance(payload, AppendRequest):
-        return not payload.entries
-    return isinstance(payload, (Probe, Ack, AppendReply))
-
-
-def story(fleet: FakeFleet) -> str:
-    """Returns what came out of all nodes, a line each, without heartbeats."""
-    lines = [
-        f"{at:8.3f} {name}: {_tell(msg)}"
-        for at, name, msg in fleet.out
-        if not _is_noise(msg)
-    ]
-    return "\n".join(lines) + "\n"
-
-
-def _tell(msg: object) -> str:
-    if isinstance(msg, Send):
-        return f"to {msg.to} {_tell(msg.payload)}"
-    shown = {
-        field.name: getattr(msg, field.name)
-        for field in attrs.fields(type(msg))
-        if getattr(msg, field.name) not in (None, "", (), 0, 0.0, False)
-    }
-    text = ", ".join(f"{key}={value!r}" for key, value in shown.items())
-    return f"{type(msg).__name__}({text})"[:600]
--- a/tests/test_control/helpers.py
+++ b/tests/test_control/helpers.py
@@ -89,3 +89,8 @@
         for name, node in fleet.nodes.items()
         if node.control
     }
+
+
+def others(leader: str) -> list[str]:
+    """Returns the control instances that do not lead."""
+    return [name for name in GROUP if name != leader]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,8 @@
 from greengagemoor.control.messages import OpKind
 from greengagemoor.membership.messages import Announce, AskAddresses
 from greengagemoor.query.messages import Request
-from tests.fakes import DOCUMENT, FakeFleet, answer_to, server, story
+from tests.fakes import DOCUMENT, FakeFleet, answer_to, server
+from tests.stories import story
 
 
 def start_fleet(entries=("e1", "e2"), controls=("c1",), seed: int = 1):
