--- a/greengagemoor/shell/disk.py
+++ b/greengagemoor/shell/disk.py
@@ -8,7 +8,6 @@
 
 from greengagemoor import log
 from greengagemoor.control.messages import Persisted, PersistFailed
-from greengagemoor.errors import StorageError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,7 +58,9 @@
         last = operations[-1].op
         try:
             self._store.write(operations)
-        except StorageError as exc:
+        except Exception as exc:
+            # Not storage errors alone: if this thread died of another one,
+            # the decider would wait for its sync for ever.
             log.event("disk_failed", level="ERROR", reason=exc)
             self._put(PersistFailed(operations[0].op, str(exc)))
             return
--- a/greengagemoor/shell/peers.py
+++ b/greengagemoor/shell/peers.py
@@ -143,7 +143,13 @@
         while await self._has_work(link):
             count = min(len(link.queue), MOST_IN_BATCH)
             payloads = [link.queue.popleft() for _ in range(count)]
-            await self._deliver(link, payloads)
+            try:
+                await self._deliver(link, payloads)
+            except Exception as exc:
+                # Whatever it was, the link must go on: a task that died would
+                # leave this peer without a word for ever.
+                log.event("peer_send_broke", level="ERROR", reason=repr(exc))
+                self._close(link)
         self._close(link)
         self._links.pop(link.address, None)
 
