Typed refusals, faults and shown servers in place of tuples

Read as a newcomer: bare tuples stood for a refusal, an announcement's fault and a shown server; an answer carried shards that nobody looked at; a round looked at every gone row to find the old ones. No behaviour changed.

--- a/greengagemoor/membership/announcements.py
+++ b/greengagemoor/membership/announcements.py
@@ -29,7 +29,7 @@
     fault = _check(state, server, kept)
     if fault is not None:
         state.counters.refused += 1
-        _reply(state, msg, *fault)
+        _reply(state, msg, fault.code, fault.detail)
         return
     heard = _note_life(state, row, msg.renewal)
     if kept is None or kept.server.order != server.order:
@@ -57,21 +57,28 @@
     return attrs.evolve(server, load=load)
 
 
+@attrs.frozen
+class _Fault:
+    code: Code
+    detail: str
+
+
 def _check(
     state: State, server: BackendServer, kept: ServerRow | None
-) -> tuple[Code, str] | None:
+) -> _Fault | None:
     if state.document is None:
-        return Code.ANNOUNCEMENT_NOT_ALLOWED, "no document yet"
+        return _Fault(Code.ANNOUNCEMENT_NOT_ALLOWED, "no document yet")
     if server.name not in state.allowed.get(server.service, {}):
-        return (
+        return _Fault(
             Code.ANNOUNCEMENT_NOT_ALLOWED,
             f"the document does not allow {server.name} for {server.service}",
         )
     conflict = _count_conflict(state, server)
     if conflict:
-        return Code.ANNOUNCEMENT_CONFLICT, conflict
+        return _Fault(Code.ANNOUNCEMENT_CONFLICT, conflict)
     if kept is not None and _is_stale(server, kept):
-        return Code.ANNOUNCEMENT_STALE, "a newer announcement is known"
+        stale = "a newer announcement is known"
+        return _Fault(Code.ANNOUNCEMENT_STALE, stale)
     return None
 
 
--- a/greengagemoor/membership/gossip.py
+++ b/greengagemoor/membership/gossip.py
@@ -97,11 +97,9 @@
 
 
 def _turn(state: State) -> list[str]:
-    table = state.table
-    near = set(table.by_data_centre.get(state.me.data_centre, ()))
-    names = sorted((near or set(table.live_instances)) - {state.me.name})
-    if not names:
-        names = sorted(set(table.live_instances) - {state.me.name})
+    table, me = state.table, {state.me.name}
+    near = set(table.by_data_centre.get(state.me.data_centre, ())) - me
+    names = sorted(near or set(table.live_instances) - me)
     state.rng.shuffle(names)
     return names
 
--- a/greengagemoor/membership/state.py
+++ b/greengagemoor/membership/state.py
@@ -13,9 +13,9 @@
 from greengagemoor.membership.table import Table
 
 if TYPE_CHECKING:
-    from greengagemoor.backends import BackendServer
     from greengagemoor.document import AllowedServer, Document
     from greengagemoor.membership.rows import Row
+    from greengagemoor.query.messages import ServerChanged
 
 
 @attrs.frozen
@@ -105,7 +105,7 @@
     fresh_at: float = float("-inf")
     control_ready: bool = False
     asked_document_at: float = float("-inf")
-    shown: dict[str, tuple[BackendServer, int]] = attrs.field(factory=dict)
+    shown: dict[str, ServerChanged] = attrs.field(factory=dict)
     leaving: bool = False
     overloaded: bool = False
 
--- a/greengagemoor/membership/table.py
+++ b/greengagemoor/membership/table.py
@@ -4,6 +4,7 @@
 
 import struct
 from functools import lru_cache
+from itertools import takewhile
 from typing import TYPE_CHECKING
 
 import attrs
@@ -106,7 +107,13 @@
 
     def forget_gone(self, before: float) -> list[str]:
         """Forgets rows that have been gone since before a time."""
-        old = [k for k, since in self.gone_since.items() if since < before]
+        # Rows enter this table as they go, so the oldest stand first.
+        old = [
+            key
+            for key, _ in takewhile(
+                lambda item: item[1] < before, self.gone_since.items()
+            )
+        ]
         for key in old:
             del self.gone_since[key]
             del self.rows[key]
--- a/greengagemoor/membership/view.py
+++ b/greengagemoor/membership/view.py
@@ -51,13 +51,10 @@
         state.out.append(ServerGone(row.server.name, row.server.service))
         return
     state.shown[row.key] = allowed
-    server, share = allowed
-    state.out.append(ServerChanged(server, share))
+    state.out.append(allowed)
 
 
-def _allowed_form(
-    state: State, row: ServerRow
-) -> tuple[BackendServer, int] | None:
+def _allowed_form(state: State, row: ServerRow) -> ServerChanged | None:
     """Returns the server within the document's limits, and the own share."""
     allowed = state.allowed.get(row.server.service, {}).get(row.server.name)
     if allowed is None or row.is_gone or row.key in state.hidden:
@@ -67,7 +64,7 @@
         slots=min(row.server.slots, allowed.slots),
         connection_cap=min(row.server.connection_cap, allowed.connection_cap),
     )
-    return server, connection_share(state, server)
+    return ServerChanged(server, connection_share(state, server))
 
 
 def connection_share(state: State, server: BackendServer) -> int:
--- a/greengagemoor/query/admission.py
+++ b/greengagemoor/query/admission.py
@@ -26,6 +26,7 @@
 
     code: Code
     retry_after_s: float
+    detail: str = ""
 
 
 def expected_wait(service: ServiceRow, caller: str, priority: int) -> float:
--- a/greengagemoor/query/messages.py
+++ b/greengagemoor/query/messages.py
@@ -88,7 +88,6 @@
     request_id: str
     snapshot: int
     results: tuple[ShardResult, ...]
-    absent: tuple[int, ...] = ()
     server_state: ServerState | None = None
 
 
--- a/greengagemoor/query/requests.py
+++ b/greengagemoor/query/requests.py
@@ -6,6 +6,7 @@
 
 from greengagemoor.codes import Code
 from greengagemoor.query import admission, answers, endings
+from greengagemoor.query.admission import Refusal
 from greengagemoor.query.endings import NO_CONTROL_RETRY_S
 from greengagemoor.query.messages import ClaimWanted, Reply, Request
 from greengagemoor.query.snapshots import pin
@@ -22,9 +23,9 @@
 
 def take(state: State, request: Request) -> None:
     """Takes in a request: refuses it, joins it to a flight, or queues it."""
-    refused = _check_request(state, request)
-    if refused:
-        _refuse(state, request, *refused)
+    refusal = _check_request(state, request)
+    if refusal:
+        _refuse(state, request, refusal)
         return
     service = state.tables.services[request.service]
     cls = service.rules.request_class(request.request_class)
@@ -36,18 +37,18 @@
         _take_claimed(state, request, service, cls, deadline)
 
 
-def _check_request(
-    state: State, request: Request
-) -> tuple[Code, float, str] | None:
+def _check_request(state: State, request: Request) -> Refusal | None:
     if state.closing:
-        return Code.NOT_RUN_LEAVING, LEAVING_RETRY_S, "this entry is leaving"
+        leaving = "this entry is leaving"
+        return Refusal(Code.NOT_RUN_LEAVING, LEAVING_RETRY_S, leaving)
     if state.document is None:
-        return Code.NOT_RUN_NOT_READY, NO_CONTROL_RETRY_S, "no document yet"
+        none_yet = "no document yet"
+        return Refusal(Code.NOT_RUN_NOT_READY, NO_CONTROL_RETRY_S, none_yet)
     service = state.tables.services.get(request.service)
     if service is None or not service.rules.request_class(
         request.request_class
     ):
-        return (
+        return Refusal(
             Code.NOT_RUN_UNKNOWN_SERVICE,
             NO_CONTROL_RETRY_S,
             "no such service or request class",
@@ -55,20 +56,16 @@
     return None
 
 
-def _refuse(
-    state: State,
-    request: Request,
-    code: Code,
-    retry_after_s: float,
-    detail: str = "",
-) -> None:
+def _refuse(state: State, request: Request, refusal: Refusal) -> None:
     state.counters.refused += 1
     state.out.append(
         Reply(
             token=request.token,
             caller=request.caller,
             request_class=request.request_class,
-            answer=answers.refusal(request, code, retry_after_s, detail),
+            answer=answers.refusal(
+                request, refusal.code, refusal.retry_after_s, refusal.detail
+            ),
             elapsed_s=0.0,
         )
     )
@@ -83,7 +80,8 @@
 ) -> None:
     query = _new_query(state, request, service, cls, deadline)
     if not pin(query):
-        _refuse(state, request, Code.NOT_RUN_NO_REPLICA, service.query_time)
+        none = Refusal(Code.NOT_RUN_NO_REPLICA, service.query_time)
+        _refuse(state, request, none)
         return
     if _join(state, query):
         return
@@ -91,7 +89,7 @@
         service, cls, request.caller, deadline - state.now
     )
     if refusal:
-        _refuse(state, request, refusal.code, refusal.retry_after_s)
+        _refuse(state, request, refusal)
         return
     _make_room(state, query)
     _enter(state, query)
@@ -196,10 +194,11 @@
     fault = _claim_fault(request)
     if fault:
         code = Code.NOT_RUN_BAD_REQUEST
-        _refuse(state, request, code, NO_CONTROL_RETRY_S, fault)
+        _refuse(state, request, Refusal(code, NO_CONTROL_RETRY_S, fault))
         return
     if not state.control_ready:
-        _refuse(state, request, Code.NOT_RUN_NO_CONTROL, NO_CONTROL_RETRY_S)
+        code = Code.NOT_RUN_NO_CONTROL
+        _refuse(state, request, Refusal(code, NO_CONTROL_RETRY_S))
         return
     query = _new_query(state, request, service, cls, deadline)
     query.phase = Phase.CLAIMING
--- a/greengagemoor/shell/backend_api.py
+++ b/greengagemoor/shell/backend_api.py
@@ -43,7 +43,12 @@
 
 @attrs.frozen
 class AnswerBody:
-    """A searcher's answer to an attempt."""
+    """A searcher's answer to an attempt.
+
+    Attributes:
+        absent: shards that it does not hold; a shard without a result counts
+            as missing whether it stands here or not.
+    """
 
     attempt_id: str
     request_id: str
@@ -115,7 +120,6 @@
             ShardResult(item.shard, json.dumps(item.value))
             for item in body.results
         ),
-        absent=body.absent,
         server_state=body.state,
     )
 
--- a/greengagemoor/shell/status.py
+++ b/greengagemoor/shell/status.py
@@ -28,8 +28,8 @@
             for row in list(state.table.live_instances.values())
         },
         "backend_servers": {
-            key: server.state.value
-            for key, (server, _) in list(state.shown.items())
+            key: shown.server.state.value
+            for key, shown in list(state.shown.items())
         },
     }
 
--- a/tests/test_membership/helpers.py
+++ b/tests/test_membership/helpers.py
@@ -78,7 +78,8 @@
 def shown(fleet: FakeFleet, entry: str) -> dict[str, ServerState]:
     """Returns the searchers that an entry may use, and their states."""
     state = fleet.nodes[entry].membership.state
-    return {s.name: s.state for s, _ in state.shown.values()}
+    servers = [msg.server for msg in state.shown.values()]
+    return {server.name: server.state for server in servers}
 
 
 def reply_to(fleet: FakeFleet, token: int) -> AnnounceReply:
--- a/tests/test_membership/test_shares.py
+++ b/tests/test_membership/test_shares.py
@@ -18,10 +18,10 @@
 def shares(fleet, server: str) -> dict[str, int]:
     """Returns what each entry holds of a searcher's cap."""
     return {
-        name: share
+        name: msg.share
         for name, node in fleet.nodes.items()
-        for row, share in node.membership.state.shown.values()
-        if row.name == server
+        for msg in node.membership.state.shown.values()
+        if msg.server.name == server
     }
 
 
