--- a/bench/costs.py
+++ b/bench/costs.py
@@ -13,7 +13,7 @@
 import time
 from pathlib import Path
 
-from examples.demo import SHARDS
+from examples.demo import SHARDS, leads
 from examples.fleet import EXAMPLES, Fleet, free_addresses, wait_for
 from greengagemoor.cmd.load import Plan, send_load
 from greengagemoor.document import parse_document
@@ -160,6 +160,13 @@
         120.0,
     )
     time.sleep(IDLE_S)
+    _measure_quiet(fleet, names, http)
+
+
+def _measure_quiet(
+    fleet: Fleet, names: list[str], http: dict[str, str]
+) -> None:
+    """Measures processes that have found each other, by their role."""
     pids = {name: fleet.processes[name].pid for name in names}
     before = {
         n: (processor_s(p), _sent(fleet, http[n])) for n, p in pids.items()
@@ -203,7 +210,7 @@
         peer_address=ports[3],
         **common,
     )
-    wait_for("a leader", lambda: _leads(fleet, ports[0]))
+    wait_for("a leader", lambda: leads(fleet, ports[0]))
     fleet.ctl("apply", str(EXAMPLES / "contracts.json"), "--at", ports[0])
     for address, (searcher, shards) in zip(
         ports[4:], SHARDS.items(), strict=True
@@ -215,10 +222,6 @@
         _measure_load(fleet, ports[2], rate)
 
 
-def _leads(fleet: Fleet, http: str) -> bool:
-    return (fleet.get(http, "/v1/members") or {}).get("role") == "leader"
-
-
 def _knows_all(fleet: Fleet, http: str) -> bool:
     status = fleet.get(http, "/v1/status") or {}
     return len(status.get("backend_servers", ())) == len(SHARDS)
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -27,19 +27,40 @@
 def run(fleet: Fleet) -> dict:
     """Starts the fleet and returns the answer to one query."""
     ports = free_addresses(9)
-    control_http, control_peer = ports[0:2]
-    group = [{"instance": "control-1", "address": control_peer}]
+    control_http = ports[0]
+    entries = {"entry-1": ports[2:4], "entry-2": ports[4:6]}
+    start_instances(fleet, ports[0:2], entries)
+    say("processes started; waiting for the control group")
+    wait_for("a leader", lambda: leads(fleet, control_http))
+    applied = fleet.ctl(
+        "apply", str(EXAMPLES / "contracts.json"), "--at", control_http
+    )
+    say(f"document applied: {json.loads(applied.stdout)}")
+    start_searchers(fleet, entries, ports[6:9])
+    wait_for("all searchers on both entries", lambda: all_known(fleet, entries))
+    found = fleet.get(ports[2], "/v1/addresses?service=contracts")
+    say(f"addresses: {found}")
+    first = found["addresses"][0]["http_address"]
+    asked = fleet.ctl(
+        "request", "contracts", "lookup", "--body", '{"pump": 7}', "--at", first
+    )
+    return json.loads(asked.stdout)
+
+
+def start_instances(fleet: Fleet, control: list[str], entries: dict) -> None:
+    """Starts one control instance and the entries."""
+    http, peer = control
+    group = [{"instance": "control-1", "address": peer}]
     fleet.start_instance(
         "control-1",
         roles=["control"],
         data_centre="dc-1",
-        http_address=control_http,
-        peer_address=control_peer,
+        http_address=http,
+        peer_address=peer,
         data_folder=str(fleet.folder / "control-1"),
         control_group=group,
         new_group=True,
     )
-    entries = {"entry-1": ports[2:4], "entry-2": ports[4:6]}
     for number, (entry, (http, peer)) in enumerate(entries.items(), 1):
         fleet.start_instance(
             entry,
@@ -50,36 +71,18 @@
             addresses_valid_s=0.5,
             leave_margin_s=0.2,
         )
-    entry_http = ports[2]
-    say("processes started; waiting for the control group")
-    wait_for(
-        "a leader",
-        lambda: (
-            (fleet.get(control_http, "/v1/members") or {}).get("role")
-            == "leader"
-        ),
-    )
-    applied = fleet.ctl(
-        "apply", str(EXAMPLES / "contracts.json"), "--at", control_http
-    )
-    say(f"document applied: {json.loads(applied.stdout)}")
-    for (searcher, shards), address in zip(
-        SHARDS.items(), ports[6:9], strict=True
-    ):
-        fleet.start_searcher(
-            searcher,
-            address,
-            entries=",".join(http for http, _ in entries.values()),
-            shards=shards,
-        )
-    wait_for("all searchers on both entries", lambda: all_known(fleet, entries))
-    found = fleet.get(entry_http, "/v1/addresses?service=contracts")
-    say(f"addresses: {found}")
-    first = found["addresses"][0]["http_address"]
-    asked = fleet.ctl(
-        "request", "contracts", "lookup", "--body", '{"pump": 7}', "--at", first
-    )
-    return json.loads(asked.stdout)
+
+
+def start_searchers(fleet: Fleet, entries: dict, addresses: list[str]) -> None:
+    """Starts the stand-in searchers; each shard is held by two."""
+    known = ",".join(http for http, _ in entries.values())
+    for (name, shards), address in zip(SHARDS.items(), addresses, strict=True):
+        fleet.start_searcher(name, address, entries=known, shards=shards)
+
+
+def leads(fleet: Fleet, http: str) -> bool:
+    """Whether a control instance leads its group."""
+    return (fleet.get(http, "/v1/members") or {}).get("role") == "leader"
 
 
 def all_known(fleet: Fleet, entries: dict) -> bool:
