A draining searcher whose renewals still say ready is not lost

Found by a longer run of the membership machine (500 examples): a searcher that drained and then announced 'ready' in the same incarnation was kept as draining, its renewals were refused as other words at the same order, and it was dropped as silent. Ruled out: the guardians (both heard it). Such a renewal now counts as one. test_renewals_that_still_say_ready_are_signs_of_life failed first.

--- a/greengagemoor/membership/announcements.py
+++ b/greengagemoor/membership/announcements.py
@@ -87,11 +87,15 @@
 
     A plain renewal repeats the row and is welcome. A load alone may change
     without a new sequence: it is a hint, and not worth a message to all.
+    Where the row is kept as draining, a renewal that still says ready is one.
     """
     if server.order != kept.server.order:
         return server.order < kept.server.order
-    same_load = attrs.evolve(server, load=kept.server.load)
-    return same_load != kept.server
+    drained = kept.server.state is ServerState.DRAINING
+    opens = server.state in (ServerState.READY, ServerState.WARMING)
+    state = kept.server.state if drained and opens else server.state
+    renewed = attrs.evolve(server, load=kept.server.load, state=state)
+    return renewed != kept.server
 
 
 def _count_conflict(state: State, server: BackendServer) -> str:
--- a/tests/test_membership/test_announcements.py
+++ b/tests/test_membership/test_announcements.py
@@ -198,6 +198,25 @@
         to_a = [m for _, m in fleet.attempts[before:] if m.server == "a"]
         assert len(to_a) <= 2
 
+    def test_renewals_that_still_say_ready_are_signs_of_life(self, fleet):
+        """A draining searcher that is held for lost.
+
+        Symptom: a searcher that drains is dropped although it lives, and its
+        announcements are refused for ever.
+        Sequence: it says that it drains, then goes on to announce "ready"
+        under one sequence; here it is kept as draining.
+        Cause: the renewal differs from the row that is kept, and is refused
+        as other words at the same order.
+        """
+        searchers = start_searchers(fleet)
+        a = searchers["a"]
+        a.say(ServerState.DRAINING)
+        fleet.run(1.0)
+        a.say(ServerState.READY)
+        run_with_renewals(fleet, searchers.values(), 8.0)
+        for entry in ENTRIES:
+            assert shown(fleet, entry)["a"] is ServerState.DRAINING
+
     def test_ready_word_after_the_drain_of_one_incarnation(self, fleet):
         searchers = start_searchers(fleet)
         a = searchers["a"]
