Restart time measured; an event that nobody emitted is gone

Read as a newcomer: listeners could connect to 'announced' and never heard it; the same fixtures stood in two test modules; the application wrote log lines beside wiring the parts (shell/notes.py does it now). No check was changed. Left: the bound of 10,000 kept results was not run.

--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -4,9 +4,11 @@
 
 import json
 import random
+import tempfile
 import time
 import tracemalloc
 import zlib
+from pathlib import Path
 
 from bench.fits import report
 from greengagemoor.control.commands import ApplyDocument, Claim
@@ -21,7 +23,10 @@
     Recovered,
     Send,
 )
+from greengagemoor.control.state import Role
 from greengagemoor.document import parse_document
+from greengagemoor.storage.folder import DataFolder
+from greengagemoor.storage.store import Store
 from greengagemoor.wire import codec
 
 
@@ -196,3 +201,45 @@
     report("ledger memory by ids", counts, used, "B")
     report("ledger snapshot by ids", counts, saved, "B")
     report("ledger snapshot time by ids", counts, times, "us")
+
+
+def restarts() -> None:
+    """Time and folder size of a restart against the changes before it."""
+    counts = (125, 500, 2000)
+    times, sizes = [], []
+    for count in counts:
+        with tempfile.TemporaryDirectory() as name:
+            _apply_changes(Path(name), count)
+            start = time.perf_counter()
+            store = Store(DataFolder(name, "c1"))
+            member = _lone_member()
+            member.step(1e6, [store.recover()])
+            times.append(1000 * (time.perf_counter() - start))
+            store.close()
+            sizes.append(sum(f.stat().st_size for f in Path(name).iterdir()))
+    report("restart time by changes", counts, times, "ms")
+    report("data folder by changes", counts, sizes, "B")
+
+
+def _lone_member() -> ControlDecider:
+    return ControlDecider("c1#x", "c1:1", {}, random.Random(1), new_group=True)
+
+
+def _apply_changes(folder: Path, count: int) -> None:
+    """Applies documents one after the other, each synced, as one member."""
+    store = Store(DataFolder(folder, "c1"))
+    member = _lone_member()
+    now, version, msgs = 0.0, 0, [store.recover()]
+    while member.state.machine.documents.version < count:
+        now += 0.01
+        out = member.step(now, msgs)
+        writes = [msg for msg in out if isinstance(msg, Persist)]
+        store.write(writes)
+        msgs = [Persisted(msg.op) for msg in writes]
+        done = member.state.machine.documents.version
+        if member.state.role is Role.LEADER and done == version:
+            version += 1
+            command = ApplyDocument(f"a{version}", done, make_text(1), now)
+            request = OpRequest(version, OpKind.APPLY, command)
+            msgs.append(Received("operator", request))
+    store.close()
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -10,7 +10,7 @@
 import tracemalloc
 from typing import TYPE_CHECKING
 
-from bench.control_slopes import control, documents
+from bench.control_slopes import control, documents, restarts
 from bench.fits import report
 from bench.many import INTERVAL_S, Many, make_server
 from greengagemoor.membership.rows import ServerRow
@@ -215,6 +215,7 @@
     "memory": memory_of_rows,
     "documents": documents,
     "control": control,
+    "restarts": restarts,
     "cut": region_cut,
     "loss": data_centre_loss,
 }
--- a/greengagemoor/application.py
+++ b/greengagemoor/application.py
@@ -22,7 +22,7 @@
 from greengagemoor.node import CloseEntry, Node, StartUp
 from greengagemoor.query import messages as query
 from greengagemoor.query.decider import QueryDecider
-from greengagemoor.shell import routes, status
+from greengagemoor.shell import notes, routes, status
 from greengagemoor.shell.clock import Clock
 from greengagemoor.shell.disk import DiskWriter
 from greengagemoor.shell.dispatch import Dispatcher
@@ -163,10 +163,7 @@
         add(control.Send, self._peers.send)
         if self._disk is not None:
             add(control.Persist, self._disk.write)
-        add(query.DocumentChanged, self._note_document)
-        add(query.ServerChanged, self._note_server)
-        add(query.ServerGone, self._note_server_gone)
-        add(query.ControlReady, self._note_control)
+        notes.connect(add, self.events)
 
     def _take_reply(self, reply: query.Reply) -> None:
         self.metrics.note_reply(reply)
@@ -183,28 +180,6 @@
         )
         self.events.emit(events.ANSWERED, reply)
 
-    def _note_document(self, msg: query.DocumentChanged) -> None:
-        log.event("document_in_force", version=msg.version)
-        self.events.emit(events.DOCUMENT_IN_FORCE, msg)
-
-    def _note_server(self, msg: query.ServerChanged) -> None:
-        log.event(
-            "server_changed",
-            service=msg.server.service,
-            server=msg.server.name,
-            state=msg.server.state.value,
-            share=msg.share,
-        )
-        self.events.emit(events.SERVER_CHANGED, msg)
-
-    def _note_server_gone(self, msg: query.ServerGone) -> None:
-        log.event("server_gone", service=msg.service, server=msg.name)
-        self.events.emit(events.SERVER_CHANGED, msg)
-
-    def _note_control(self, msg: query.ControlReady) -> None:
-        log.event("control_ready", ready=msg.ready)
-        self.events.emit(events.CONTROL_CHANGED, msg)
-
     def start(self) -> None:
         """Recovers durable state, then listens."""
         recovered = self._store.recover() if self._store else None
--- a/greengagemoor/events.py
+++ b/greengagemoor/events.py
@@ -11,7 +11,6 @@
     from collections.abc import Callable
 
 ANSWERED = "answered"
-ANNOUNCED = "announced"
 DOCUMENT_IN_FORCE = "document-in-force"
 SERVER_CHANGED = "server-changed"
 CONTROL_CHANGED = "control-changed"
@@ -20,7 +19,6 @@
 NAMES = frozenset(
     {
         ANSWERED,
-        ANNOUNCED,
         DOCUMENT_IN_FORCE,
         SERVER_CHANGED,
         CONTROL_CHANGED,
--- a/tests/test_control/test_apply.py
+++ b/tests/test_control/test_apply.py
@@ -18,16 +18,6 @@
 )
 
 
-@pytest.fixture
-def fleet():
-    return start_group()
-
-
-@pytest.fixture
-def operator(fleet):
-    return Operator(fleet)
-
-
 class TestRace:
     """Operators with competing changes at one version number."""
 
--- a/tests/test_control/test_repair.py
+++ b/tests/test_control/test_repair.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import pytest
-
 from greengagemoor.codes import Code
 from greengagemoor.control import replication
 from greengagemoor.control.messages import InstallSnapshot
 from tests.test_control.helpers import (
-    Operator,
     is_whole,
     others,
     start_group,
@@ -16,16 +13,6 @@
 )
 
 
-@pytest.fixture
-def fleet():
-    return start_group()
-
-
-@pytest.fixture
-def operator(fleet):
-    return Operator(fleet)
-
-
 class TestElections:
     """Elections are quiet, and a healed member does not disturb."""
 
