--- /dev/null
+++ b/greengagemoor/aio/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets of the event loop: HTTP both ways, links between processes."""
--- /dev/null
+++ b/greengagemoor/aio/client.py
@@ -0,0 +1,304 @@
+"""HTTP/1.1 towards searchers: kept connections, one request at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import TYPE_CHECKING
+
+import attrs
+import httptools
+
+from greengagemoor.aio import sockets
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CONNECT_S = 0.4
+"""A connection that doesn't stand by then won't help a query any more."""
+DEFAULT_IDLE_S = 4.0
+IDLE_SHARE = 0.8
+"""A connection is used again only this far into the searcher's own timeout."""
+MOST_BODY = 4_194_304
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+
+
+@attrs.frozen
+class HttpAnswer:
+    """A whole answer.
+
+    Attributes:
+        closes: the other side ends the connection after it.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    closes: bool
+
+
+@attrs.frozen
+class HttpFailure:
+    """No whole answer came.
+
+    Attributes:
+        sent: whether bytes of the request may have reached the other side.
+        stale: the connection had been used before and broke before any byte
+            of this answer.
+    """
+
+    sent: bool
+    stale: bool
+    reason: str
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a searcher."""
+
+    def __init__(self, pool: Pool, address: str):
+        self._pool = pool
+        self.address = address
+        self.transport: asyncio.Transport | None = None
+        self.idle_until = 0.0
+        self._used = False
+        self._done: Callable[[HttpAnswer | HttpFailure], None] | None = None
+        self._got_bytes = False
+        self._dead = False
+        self._parser = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Takes the connection."""
+        self.transport = transport
+        sockets.tune(transport)
+
+    def send(
+        self, data: bytes, done: Callable[[HttpAnswer | HttpFailure], None]
+    ) -> None:
+        """Sends a request; ``done`` is called once with its end."""
+        self._done = done
+        self._got_bytes = False
+        self._status = 0
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._complete = False
+        self._parser = httptools.HttpResponseParser(self)
+        self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser; bytes that nobody asked for end the connection."""
+        if self._done is None or self._dead:
+            self.kill()
+            return
+        self._got_bytes = True
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            self._fail(f"not an answer: {type(exc).__name__}")
+            return
+        if self._complete:
+            self._finish()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes one header."""
+        self._headers.append((name, value))
+
+    def on_message_begin(self) -> None:
+        """Notes a second answer behind a whole one, which is nobody's."""
+        if self._complete:
+            self._dead = True
+
+    def on_headers_complete(self) -> None:
+        """Reads the status; 1xx answers are followed by the real one."""
+        self._status = self._parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        if self._complete:
+            return
+        self._size += len(body)
+        if self._size > MOST_BODY:
+            raise ValueError("the body is too large")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Notes that the answer is whole."""
+        if self._status >= 200:
+            self._complete = True
+        else:
+            self._headers.clear()
+
+    def _finish(self) -> None:
+        done, self._done = self._done, None
+        answer = self._answer()
+        keep = not answer.closes and not self._dead
+        if keep and self.transport.get_write_buffer_size():
+            # It answered before it read our whole body: what is still to be
+            # sent would be taken for the next request.
+            keep = False
+        if keep:
+            self._used = True
+            self._pool.put_back(self, _idle_timeout(answer.headers))
+        else:
+            self.kill()
+        done(answer)
+
+    def _answer(self) -> HttpAnswer:
+        closes = not self._parser.should_keep_alive()
+        return HttpAnswer(
+            self._status, tuple(self._headers), b"".join(self._body), closes
+        )
+
+    def eof_received(self) -> bool:
+        """An answer without a length ends here, if it has begun."""
+        if self._done is not None and self._is_unframed():
+            done, self._done = self._done, None
+            answer = HttpAnswer(
+                self._status,
+                tuple(self._headers),
+                b"".join(self._body),
+                closes=True,
+            )
+            self.kill()
+            done(answer)
+        return False
+
+    def _is_unframed(self) -> bool:
+        if self._status < 200 or self._complete:
+            return False
+        framing = {b"content-length", b"transfer-encoding"}
+        return not any(name.lower() in framing for name, _ in self._headers)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends what waits for an answer."""
+        self._pool.forget(self)
+        self._fail(str(exc or "closed"))
+
+    def _fail(self, reason: str) -> None:
+        done, self._done = self._done, None
+        stale = self._used and not self._got_bytes
+        self.kill()
+        if done is not None:
+            done(HttpFailure(sent=True, stale=stale, reason=reason))
+
+    def cancel(self) -> None:
+        """Closes the connection; the searcher drops what it runs."""
+        self._done = None
+        self.kill()
+
+    def kill(self) -> None:
+        """Closes at once."""
+        self._dead = True
+        self._pool.forget(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def _idle_timeout(headers: tuple[tuple[bytes, bytes], ...]) -> float:
+    for name, value in headers:
+        if name.lower() == b"keep-alive":
+            found = KEEP_ALIVE_TIMEOUT.search(value)
+            if found:
+                return float(found[1])
+    return DEFAULT_IDLE_S
+
+
+class Pool:
+    """Idle connections by address, and the way to new ones."""
+
+    def __init__(self):
+        self._idle: dict[str, list[ClientConnection]] = {}
+        self._loop = asyncio.get_running_loop()
+        self.opened = 0
+
+    def send(
+        self,
+        address: str,
+        data: bytes,
+        done: Callable[[HttpAnswer | HttpFailure], None],
+    ) -> Sending:
+        """Sends on an idle connection, or on a new one.
+
+        Returns:
+            A handle that can cancel the request; ``done`` isn't called then.
+        """
+        sending = Sending()
+        conn = self._take_idle(address)
+        if conn is not None:
+            sending.conn = conn
+            conn.send(data, done)
+            return sending
+        sending.task = self._loop.create_task(
+            self._connect_and_send(address, data, done, sending)
+        )
+        return sending
+
+    async def _connect_and_send(
+        self,
+        address: str,
+        data: bytes,
+        done: Callable[[HttpAnswer | HttpFailure], None],
+        sending: Sending,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, conn = await self._loop.create_connection(
+                    lambda: ClientConnection(self, address), host, int(port)
+                )
+        except (OSError, TimeoutError) as exc:
+            reason = f"no connection: {type(exc).__name__}"
+            done(HttpFailure(sent=False, stale=False, reason=reason))
+            return
+        sending.conn = conn
+        conn.send(data, done)
+
+    def _take_idle(self, address: str) -> ClientConnection | None:
+        idle = self._idle.get(address)
+        while idle:
+            conn = idle.pop()
+            if conn.idle_until > self._loop.time():
+                return conn
+            conn.kill()
+        return None
+
+    def put_back(self, conn: ClientConnection, timeout_s: float) -> None:
+        """Keeps a connection for later."""
+        conn.idle_until = self._loop.time() + IDLE_SHARE * timeout_s
+        self._idle.setdefault(conn.address, []).append(conn)
+
+    def forget(self, conn: ClientConnection) -> None:
+        """Takes a connection out that is closed."""
+        idle = self._idle.get(conn.address)
+        if idle and conn in idle:
+            idle.remove(conn)
+
+    def close_address(self, address: str) -> None:
+        """Closes the idle connections to a searcher that has ended."""
+        for conn in self._idle.pop(address, []):
+            conn.kill()
+
+    def sweep(self) -> None:
+        """Closes connections that were idle for too long."""
+        now = self._loop.time()
+        for address, idle in list(self._idle.items()):
+            for conn in [c for c in idle if c.idle_until <= now]:
+                conn.kill()
+            if not idle:
+                self._idle.pop(address, None)
+
+
+class Sending:
+    """A request on its way."""
+
+    def __init__(self):
+        self.conn: ClientConnection | None = None
+        self.task: asyncio.Task | None = None
+
+    def cancel(self) -> None:
+        """Ends it without a word to whoever asked."""
+        if self.conn is not None:
+            self.conn.cancel()
+        elif self.task is not None:
+            self.task.cancel()
--- /dev/null
+++ b/greengagemoor/aio/links.py
@@ -0,0 +1,218 @@
+"""Links between processes of ours: framed batches of messages over TCP."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from typing import TYPE_CHECKING
+
+from greengagemoor import log
+from greengagemoor.aio import sockets
+from greengagemoor.control.messages import Received, Send
+from greengagemoor.errors import WireError
+from greengagemoor.feed.messages import KeepAlive, LinkDown, LinkUp
+from greengagemoor.wire import codec
+from greengagemoor.wire import peers_pb2 as pb
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+HEAD = struct.Struct("!I")
+MOST_FRAME = 16_777_216
+KEEP_ALIVE_S = 0.5
+SILENT_S = 1.7
+"""A link without a byte for three keep-alives is dead: a cut or a freeze drops
+no connection by itself."""
+CONNECT_S = 0.8
+REDIAL_S = 0.3
+
+
+class Link(asyncio.Protocol):
+    """One connection to another process; both sides send."""
+
+    def __init__(self, links: Links, dialled: str = ""):
+        """Starts unnamed.
+
+        Args:
+            links: all links of this process.
+            dialled: the address, if this side opened the connection.
+        """
+        self._links = links
+        self.dialled = dialled
+        self.name = ""
+        self.heard_at = 0.0
+        self.sent_at = 0.0
+        self._buffer = bytearray()
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Takes the connection; the side that dialled speaks first."""
+        self._transport = transport
+        sockets.tune(transport)
+        self.heard_at = self._links.now()
+        self._links.open.add(self)
+        if self.dialled:
+            self.send([KeepAlive()])
+
+    def data_received(self, data: bytes) -> None:
+        """Cuts frames out of what came."""
+        self.heard_at = self._links.now()
+        self._buffer += data
+        while len(self._buffer) >= HEAD.size:
+            (size,) = HEAD.unpack_from(self._buffer)
+            if size > MOST_FRAME:
+                log.event("link_bad_frame", level="ERROR", size=size)
+                self.close()
+                return
+            end = HEAD.size + size
+            if len(self._buffer) < end:
+                return
+            frame = bytes(self._buffer[HEAD.size : end])
+            del self._buffer[:end]
+            self._take(frame)
+
+    def _take(self, frame: bytes) -> None:
+        try:
+            batch = pb.Batch.FromString(frame)
+            payloads = codec.from_batch(batch)
+        except (WireError, ValueError) as exc:
+            log.event("link_bad_batch", level="ERROR", reason=exc)
+            self.close()
+            return
+        self._links.received(self, batch.sender, batch.address, payloads)
+
+    def send(self, payloads: list) -> None:
+        """Sends messages in one frame."""
+        self.sent_at = self._links.now()
+        batch = codec.to_batch(self._links.name, self._links.address, payloads)
+        data = batch.SerializeToString()
+        self._links.sent_bytes += len(data)
+        self._transport.write(HEAD.pack(len(data)) + data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells that the link is gone."""
+        self._links.lost(self)
+
+    def close(self) -> None:
+        """Closes at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class Links:
+    """All links of a process, by the name of the process at the other end."""
+
+    def __init__(
+        self, name: str, address: str, put: Callable[[object], None]
+    ):
+        """Prepares; ``start`` listens.
+
+        Args:
+            name: this process.
+            address: where others dial it; '' if nobody does.
+            put: takes ``Received``, ``LinkUp`` and ``LinkDown``.
+        """
+        self.name = name
+        self.address = address
+        self.open: set[Link] = set()
+        self.sent_bytes = 0
+        self._put = put
+        self._loop = asyncio.get_running_loop()
+        self._by_name: dict[str, list[Link]] = {}
+        self._wanted: dict[str, asyncio.Task] = {}
+        self._server: asyncio.Server | None = None
+        self._outbox: dict[str, list] = {}
+
+    def now(self) -> float:
+        """Returns the loop's time in seconds."""
+        return self._loop.time()
+
+    async def start(self) -> None:
+        """Listens, and looks after the links.
+
+        Raises:
+            OSError: the address can't be listened on.
+        """
+        if self.address:
+            host, _, port = self.address.rpartition(":")
+            self._server = await self._loop.create_server(
+                lambda: Link(self), host, int(port), backlog=512
+            )
+        self._loop.call_later(KEEP_ALIVE_S / 2, self._look_after)
+
+    def want(self, addresses: set[str]) -> None:
+        """Keeps a link to each address, and to no other that was wanted."""
+        for address in addresses - set(self._wanted) - {self.address}:
+            task = self._loop.create_task(self._keep_dialled(address))
+            self._wanted[address] = task
+
+    async def _keep_dialled(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        while True:
+            try:
+                async with asyncio.timeout(CONNECT_S):
+                    _, link = await self._loop.create_connection(
+                        lambda: Link(self, address), host, int(port)
+                    )
+            except (OSError, TimeoutError):
+                await asyncio.sleep(REDIAL_S)
+                continue
+            while link in self.open:
+                await asyncio.sleep(REDIAL_S)
+
+    def received(
+        self, link: Link, name: str, address: str, payloads: list
+    ) -> None:
+        """Takes in a batch, and the name of a link that had none."""
+        if not link.name:
+            link.name = name
+            links = self._by_name.setdefault(name, [])
+            links.append(link)
+            if not link.dialled:
+                link.send([KeepAlive()])
+            if len(links) == 1:
+                log.event("link_up", peer=name)
+                self._put(LinkUp(name))
+        for payload in payloads:
+            if not isinstance(payload, KeepAlive):
+                self._put(Received(name, payload, address))
+
+    def lost(self, link: Link) -> None:
+        """Forgets a link that is closed."""
+        self.open.discard(link)
+        links = self._by_name.get(link.name)
+        if not links or link not in links:
+            return
+        links.remove(link)
+        if not links:
+            del self._by_name[link.name]
+            log.event("link_down", level="WARNING", peer=link.name)
+            self._put(LinkDown(link.name))
+
+    def send(self, msg: Send) -> None:
+        """Sends to a process by name; without a link the message is lost."""
+        queue = self._outbox.get(msg.to)
+        if queue is None:
+            self._outbox[msg.to] = [msg.payload]
+            self._loop.call_soon(self._flush, msg.to)
+        else:
+            queue.append(msg.payload)
+        if msg.address and msg.to not in self._by_name:
+            self.want({msg.address})
+
+    def _flush(self, name: str) -> None:
+        payloads = self._outbox.pop(name)
+        links = self._by_name.get(name)
+        if links:
+            links[-1].send(payloads)
+
+    def _look_after(self) -> None:
+        """Says that we live, and closes links that went silent."""
+        now = self.now()
+        for link in list(self.open):
+            if now - link.heard_at > SILENT_S:
+                log.event("link_silent", level="WARNING", peer=link.name)
+                link.close()
+            elif now - link.sent_at >= KEEP_ALIVE_S:
+                link.send([KeepAlive()])
+        self._loop.call_later(KEEP_ALIVE_S / 2, self._look_after)
--- a/greengagemoor/control/commands.py
+++ b/greengagemoor/control/commands.py
@@ -80,7 +80,23 @@
     time: float
 
 
-Command = NoOp | ApplyDocument | Claim | RecordOutcome | ChangeMembers
+@attrs.frozen
+class PutDocument:
+    """Stores a document under a number that the operator chose.
+
+    Attributes:
+        number: the highest number that was ever put is in force.
+        packed: the document's text, compressed: a log keeps hundreds of them.
+    """
+
+    number: int
+    packed: bytes
+    time: float
+
+
+Command = (
+    NoOp | ApplyDocument | Claim | RecordOutcome | ChangeMembers | PutDocument
+)
 
 
 @attrs.frozen
--- a/greengagemoor/control/decider.py
+++ b/greengagemoor/control/decider.py
@@ -196,6 +196,7 @@
                 state.out.append(
                     m.DocumentAccepted(documents.version, documents.text)
                 )
+        replication.announce_numbered(state)
         state.log.merge(msg.entries)
         state.set_members()
         state.disk.synced_index = state.log.last_index
--- a/greengagemoor/control/machine.py
+++ b/greengagemoor/control/machine.py
@@ -12,6 +12,7 @@
     ChangeMembers,
     Claim,
     NoOp,
+    PutDocument,
     RecordOutcome,
 )
 from greengagemoor.control.documents import ApplyResult, Documents
@@ -20,6 +21,7 @@
     ClaimAnswer,
     Ledger,
 )
+from greengagemoor.control.numbered import Numbered
 
 if TYPE_CHECKING:
     from greengagemoor.control.commands import Command
@@ -31,6 +33,7 @@
     def __init__(self):
         self.documents = Documents()
         self.ledger = Ledger()
+        self.numbered = Numbered()
 
     def apply(self, command: Command) -> ApplyResult | ClaimAnswer | None:
         """Applies one committed command and returns its result, if any."""
@@ -64,6 +67,11 @@
     def _(self, command: RecordOutcome) -> None:
         self.ledger.record(command)
 
+    @_apply.register
+    def _(self, command: PutDocument) -> ApplyResult:
+        number = self.numbered.put(command)
+        return ApplyResult(Code.ACCEPTED, number)
+
     def _set_window(self) -> None:
         decoded = json.loads(self.documents.text)
         window = float(decoded.get("ledger_window_s", DEFAULT_WINDOW_S))
@@ -71,11 +79,18 @@
 
     def save(self) -> bytes:
         """Returns the whole state for a snapshot."""
-        parts = [self.documents.save(), self.ledger.save()]
+        parts = [
+            self.documents.save(),
+            self.ledger.save(),
+            self.numbered.save(),
+        ]
         return json.dumps(parts).encode()
 
     def load(self, data: bytes) -> None:
         """Replaces the whole state by a snapshot's."""
-        documents, ledger = json.loads(data)
+        documents, ledger, *numbered = json.loads(data)
         self.documents.load(documents)
         self.ledger.load(ledger)
+        # A snapshot of an earlier release has no third part.
+        if numbered:
+            self.numbered.load(numbered[0])
--- a/greengagemoor/control/messages.py
+++ b/greengagemoor/control/messages.py
@@ -121,6 +121,8 @@
     CLAIM = "claim"
     OUTCOME = "outcome"
     REMOVE_MEMBER = "remove_member"
+    PUT = "put"
+    READ_NUMBERED = "read_numbered"
 
 
 @attrs.frozen
@@ -153,6 +155,7 @@
         winner: apply id that won the version, for a conflict.
         verdict: a ``query.messages.ClaimVerdict`` value for CLAIM.
         detail: faults, one a line.
+        packed: the numbered document, compressed, for READ_NUMBERED.
     """
 
     op_id: int
@@ -163,6 +166,7 @@
     winner: str = ""
     verdict: str = ""
     detail: str = ""
+    packed: bytes = attrs.field(default=b"", repr=False)
 
 
 # Between the decider and its disk.
@@ -253,6 +257,14 @@
     text: str
 
 
+@attrs.frozen
+class NumberedAccepted:
+    """This member applied a committed document numbered by the operator."""
+
+    number: int
+    packed: bytes
+
+
 @attrs.frozen
 class Confirmed:
     """A quorum confirmed that ``version`` was current.
--- /dev/null
+++ b/greengagemoor/control/numbered.py
@@ -0,0 +1,40 @@
+"""Replicated state machine of the document that the operator numbers."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from greengagemoor.control.commands import PutDocument
+
+
+class Numbered:
+    """The document with the highest number that was ever put.
+
+    A lower number is a change that a newer one has overtaken, an equal one is
+    a resend, or another operator's words under a number that is taken; both
+    are acknowledged and change nothing. If an equal number could replace the
+    text, two readers of one number would see different documents.
+    """
+
+    def __init__(self):
+        self.number = 0
+        self.packed = b""
+
+    def put(self, command: PutDocument) -> int:
+        """Applies a committed command; returns the number now in force."""
+        if command.number > self.number:
+            self.number = command.number
+            self.packed = command.packed
+        return self.number
+
+    def save(self) -> str:
+        """Returns the state as text for a snapshot."""
+        return json.dumps([self.number, base64.b64encode(self.packed).decode()])
+
+    def load(self, text: str) -> None:
+        """Replaces the state by a saved one."""
+        self.number, packed = json.loads(text)
+        self.packed = base64.b64decode(packed)
--- a/greengagemoor/control/operations.py
+++ b/greengagemoor/control/operations.py
@@ -21,6 +21,9 @@
     from greengagemoor.control.state import Applied, State
 
 
+_READS = frozenset({OpKind.READ, OpKind.READ_NUMBERED})
+
+
 def take(state: State, asker: str, req: OpRequest) -> None:
     """Takes in an operation; only a leader sure of its term serves it."""
     if not _serves(state):
@@ -29,12 +32,14 @@
         )
         state.out.append(Send(asker, reply))
         return
-    if req.kind is OpKind.READ:
+    if req.kind in _READS:
         _take_read(state, asker, req)
     elif req.kind is OpKind.REMOVE_MEMBER:
         _take_removal(state, asker, req)
     elif req.kind is OpKind.APPLY and _answer_apply(state, asker, req):
         return
+    elif req.kind is OpKind.PUT and _answer_put(state, asker, req):
+        return
     else:
         _propose(state, asker, req)
 
@@ -69,6 +74,20 @@
     return True
 
 
+def _answer_put(state: State, asker: str, req: OpRequest) -> bool:
+    """Answers a number that is not higher than what is committed.
+
+    A resend after a lost reply is as common as the change itself; it needs
+    no log entry, since what it asks for is already durable.
+    """
+    number = state.machine.numbered.number
+    if req.command.number > number:
+        return False
+    reply = OpReply(req.op_id, Code.ACCEPTED, version=number)
+    state.out.append(Send(asker, reply))
+    return True
+
+
 def _apply_reply(op_id: int, result: ApplyResult) -> OpReply:
     return OpReply(
         op_id=op_id,
@@ -88,7 +107,7 @@
 def _take_read(state: State, asker: str, req: OpRequest) -> None:
     """Holds a read until a quorum answers a round that starts after it."""
     read = PendingRead(
-        asker, req.op_id, req.known_version, round=state.round + 1
+        asker, req.op_id, req.known_version, state.round + 1, req.kind
     )
     state.reads.append(read)
     state.broadcast_due = True
@@ -154,6 +173,8 @@
 
 
 def _read_reply(state: State, read: PendingRead) -> OpReply:
+    if read.kind is OpKind.READ_NUMBERED:
+        return _numbered_reply(state, read)
     documents = state.machine.documents
     newer = documents.version > read.known_version
     return OpReply(
@@ -163,3 +184,15 @@
         text=documents.text if newer else "",
         leader=state.instance,
     )
+
+
+def _numbered_reply(state: State, read: PendingRead) -> OpReply:
+    numbered = state.machine.numbered
+    newer = numbered.number > read.known_version
+    return OpReply(
+        op_id=read.op_id,
+        code=Code.CURRENT,
+        version=numbered.number,
+        leader=state.instance,
+        packed=numbered.packed if newer else b"",
+    )
--- a/greengagemoor/control/replication.py
+++ b/greengagemoor/control/replication.py
@@ -12,6 +12,7 @@
     AppendRequest,
     DocumentAccepted,
     InstallSnapshot,
+    NumberedAccepted,
 )
 from greengagemoor.control.state import Applied, Role, note_replaced
 
@@ -139,6 +140,7 @@
         note_replaced(state, snapshot.index + 1)
         state.disk.snapshot = snapshot
         _announce_document(state)
+        announce_numbered(state)
     _reply(state, msg, ok=True, match_index=snapshot.index)
 
 
@@ -212,10 +214,13 @@
 
 def _apply(state: State, entry: LogEntry) -> None:
     before = state.machine.documents.version
+    numbered = state.machine.numbered.number
     result = state.machine.apply(entry.command)
     state.applied = entry.index
     if state.machine.documents.version != before:
         _announce_document(state)
+    if state.machine.numbered.number != numbered:
+        announce_numbered(state)
     if entry.index in state.pending:
         state.results.append(Applied(entry, result))
 
@@ -226,6 +231,13 @@
         state.out.append(DocumentAccepted(documents.version, documents.text))
 
 
+def announce_numbered(state: State) -> None:
+    """Tells this process of the numbered document, if there is one."""
+    numbered = state.machine.numbered
+    if numbered.number:
+        state.out.append(NumberedAccepted(numbered.number, numbered.packed))
+
+
 def _snapshot_when_due(state: State) -> None:
     """Keeps log, folder and restart time bounded.
 
--- a/greengagemoor/control/state.py
+++ b/greengagemoor/control/state.py
@@ -74,6 +74,7 @@
     op_id: int
     known_version: int
     round: int
+    kind: OpKind
 
 
 @attrs.frozen
--- /dev/null
+++ b/greengagemoor/feed/__init__.py
@@ -0,0 +1,1 @@
+"""How entries learn searchers and documents from the control instances."""
--- /dev/null
+++ b/greengagemoor/feed/hub.py
@@ -0,0 +1,290 @@
+"""Control side of the feed: takes announcements, pushes changes to entries."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from greengagemoor.control.messages import NumberedAccepted, Received, Send
+from greengagemoor.feed import messages as m
+from greengagemoor.feed.messages import SearcherState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+HOLD_S = 0.6
+"""Longest wait of an acknowledgement for the entries; callers wait 1 s."""
+FORGET_S = 120.0
+"""How long an ended searcher's id is kept, so that late words of it, held up
+by a cut, don't bring it back."""
+ENTRY_SEEN_S = 600.0
+"""How long an entry counts for connection shares after it was last heard."""
+LOST_AFTER_BEATS = 3.5
+JUMP_BEATS = 1.6
+
+
+@attrs.frozen
+class Timing:
+    """Intervals in seconds.
+
+    Attributes:
+        announce: how often searchers announce themselves.
+    """
+
+    announce: float
+
+
+@attrs.define
+class _Heard:
+    row: m.SearcherRow
+    heard_at: float
+
+
+@attrs.define
+class _Entry:
+    subscribe: m.Subscribe
+    taken: int = 0
+
+
+@attrs.frozen
+class _Waiting:
+    token: object
+    number: int
+    until: float
+
+
+class Hub:
+    """What this control instance heard itself; it repeats no other's words.
+
+    Each entry subscribes at every control instance, so a change crosses each
+    link once, and no two control instances need to agree on a searcher: the
+    entry takes the row with the highest sequence.
+    """
+
+    def __init__(self, timing: Timing):
+        self._timing = timing
+        self._searchers: dict[str, _Heard] = {}
+        self._by_address: dict[str, str] = {}
+        self._entries: dict[str, _Entry] = {}
+        self._entries_seen: dict[str, float] = {}
+        self._waiting: deque[_Waiting] = deque()
+        self._changed: list[m.SearcherRow] = []
+        self._number = 0
+        self._document = m.NumberedDocument(0, b"")
+        self._peers: tuple[str, ...] = ()
+        self._sweep_at = 0.0
+        self._now = 0.0
+        self._out: list = []
+
+    def step(self, now: float, msgs: Iterable[object]) -> list:
+        """Runs one tick.
+
+        Args:
+            now: seconds of a clock that doesn't go back.
+            msgs: ``Announced``, ``Leaving``, ``Received``, ``LinkDown``,
+                ``NumberedAccepted``.
+
+        Returns:
+            ``Send`` and ``AnnouncementTaken``.
+        """
+        self._now = now
+        self._out = []
+        for msg in msgs:
+            self._take(msg)
+        if now >= self._sweep_at:
+            self._sweep()
+        self._push()
+        self._release()
+        return self._out
+
+    def next_wake(self) -> float:
+        """Returns when a tick is due although no message came."""
+        if self._waiting:
+            return min(self._sweep_at, self._waiting[0].until)
+        return self._sweep_at
+
+    def ready_entries(self) -> list[m.Subscribe]:
+        """Returns the entries that callers may be given."""
+        subscribes = (entry.subscribe for entry in self._entries.values())
+        return [s for s in subscribes if s.ready]
+
+    def set_peers(self, addresses: tuple[str, ...]) -> None:
+        """Sets the control instances that entries are told of."""
+        if addresses == self._peers:
+            return
+        self._peers = addresses
+        for name in self._entries:
+            self._out.append(Send(name, self._known_peers()))
+
+    def _known_peers(self) -> m.KnownPeers:
+        return m.KnownPeers(self._peers, len(self._entries_seen))
+
+    def _take(self, msg: object) -> None:
+        if isinstance(msg, m.Announced):
+            self._take_announced(msg)
+        elif isinstance(msg, m.Leaving):
+            self._take_leaving(msg)
+        elif isinstance(msg, Received):
+            self._take_received(msg.sender, msg.payload)
+        elif isinstance(msg, m.LinkDown):
+            self._entries.pop(msg.name, None)
+        elif isinstance(msg, NumberedAccepted):
+            self._take_document(msg)
+
+    def _take_announced(self, msg: m.Announced) -> None:
+        row = msg.row
+        known = self._searchers.get(row.searcher_id)
+        if self._is_late(row, known):
+            self._out.append(m.AnnouncementTaken(msg.token))
+            return
+        self._displace(row)
+        self._searchers[row.searcher_id] = _Heard(row, self._now)
+        if known is not None and not self._is_news(known, row):
+            self._out.append(m.AnnouncementTaken(msg.token))
+            return
+        self._changed.append(row)
+        self._hold(msg.token)
+
+    def _is_late(self, row: m.SearcherRow, known: _Heard | None) -> bool:
+        if known is None:
+            return False
+        # A start that ended, or whose address another start has taken over,
+        # can only be heard of by words that were held up on their way.
+        if known.row.state is SearcherState.GONE:
+            return True
+        return row.sequence <= known.row.sequence
+
+    def _displace(self, row: m.SearcherRow) -> None:
+        """Ends the start that had this address before."""
+        previous = self._by_address.get(row.address)
+        if previous == row.searcher_id:
+            return
+        self._by_address[row.address] = row.searcher_id
+        heard = self._searchers.get(previous) if previous else None
+        if heard is not None:
+            self._set_state(heard, SearcherState.GONE)
+
+    def _is_news(self, known: _Heard, row: m.SearcherRow) -> bool:
+        if known.row.state is not row.state:
+            return True
+        if known.row.address != row.address:
+            return True
+        # After a gap, another control instance may have told entries that the
+        # searcher is lost, under a sequence above the one told from here.
+        gap = self._now - known.heard_at
+        return gap > JUMP_BEATS * self._timing.announce
+
+    def _take_leaving(self, msg: m.Leaving) -> None:
+        heard = self._searchers.get(msg.searcher_id)
+        if heard is None:
+            # Heard elsewhere so far; entries know its address from there.
+            row = m.SearcherRow(
+                msg.searcher_id, "", "", "", SearcherState.GONE, 0, 0, 0.0
+            )
+            heard = _Heard(row, self._now)
+            self._searchers[msg.searcher_id] = heard
+            self._changed.append(row)
+        elif heard.row.state is not SearcherState.GONE:
+            self._set_state(heard, SearcherState.GONE)
+        self._hold(msg.token)
+
+    def _set_state(self, heard: _Heard, state: SearcherState) -> None:
+        heard.row = attrs.evolve(heard.row, state=state)
+        self._changed.append(heard.row)
+
+    def _hold(self, token: object) -> None:
+        """Acknowledges once every entry that is linked has taken the change.
+
+        A searcher that drains stops serving some seconds after the
+        acknowledgement. If that outran the change, entries would go on
+        sending to it.
+        """
+        number = self._number + 1
+        self._waiting.append(_Waiting(token, number, self._now + HOLD_S))
+
+    def _take_received(self, sender: str, payload: object) -> None:
+        if isinstance(payload, m.Subscribe):
+            self._take_subscribe(sender, payload)
+        elif isinstance(payload, m.RowsTaken):
+            entry = self._entries.get(sender)
+            if entry is not None:
+                entry.taken = max(entry.taken, payload.number)
+        elif (
+            isinstance(payload, m.WantNumbered)
+            and self._document.number > payload.known_number
+        ):
+            self._out.append(Send(sender, self._document))
+
+    def _take_subscribe(self, sender: str, msg: m.Subscribe) -> None:
+        known = self._entries.get(sender)
+        is_new = sender not in self._entries_seen
+        self._entries_seen[sender] = self._now
+        if known is not None:
+            known.subscribe = msg
+            return
+        self._entries[sender] = _Entry(msg)
+        rows = tuple(heard.row for heard in self._searchers.values())
+        self._out.append(Send(sender, self._known_peers()))
+        self._out.append(Send(sender, m.SearcherRows(self._number, True, rows)))
+        self._out.append(
+            Send(sender, m.DocumentNumber(self._document.number))
+        )
+        if is_new:
+            others = (name for name in self._entries if name != sender)
+            for name in others:
+                self._out.append(Send(name, self._known_peers()))
+
+    def _take_document(self, msg: NumberedAccepted) -> None:
+        if msg.number <= self._document.number:
+            return
+        self._document = m.NumberedDocument(msg.number, msg.packed)
+        for name in self._entries:
+            self._out.append(Send(name, m.DocumentNumber(msg.number)))
+
+    def _sweep(self) -> None:
+        """Marks searchers lost that went silent, forgets what is long ended."""
+        self._sweep_at = self._now + self._timing.announce / 4
+        silent = self._now - LOST_AFTER_BEATS * self._timing.announce
+        ended = []
+        for searcher_id, heard in self._searchers.items():
+            if heard.heard_at > silent:
+                continue
+            if heard.row.state is SearcherState.READY:
+                self._set_state(heard, SearcherState.LOST)
+            elif heard.heard_at < self._now - FORGET_S:
+                ended.append(searcher_id)
+        for searcher_id in ended:
+            row = self._searchers.pop(searcher_id).row
+            if self._by_address.get(row.address) == searcher_id:
+                del self._by_address[row.address]
+        oldest = self._now - ENTRY_SEEN_S
+        for name in self._entries:
+            self._entries_seen[name] = self._now
+        self._entries_seen = {
+            name: seen
+            for name, seen in self._entries_seen.items()
+            if seen > oldest
+        }
+
+    def _push(self) -> None:
+        if not self._changed:
+            return
+        self._number += 1
+        rows = m.SearcherRows(self._number, False, tuple(self._changed))
+        self._changed = []
+        for name in self._entries:
+            self._out.append(Send(name, rows))
+
+    def _release(self) -> None:
+        taken = min(
+            (entry.taken for entry in self._entries.values()),
+            default=self._number,
+        )
+        while self._waiting:
+            first = self._waiting[0]
+            if first.number > taken and self._now < first.until:
+                return
+            self._waiting.popleft()
+            self._out.append(m.AnnouncementTaken(first.token))
--- /dev/null
+++ b/greengagemoor/feed/view.py
@@ -0,0 +1,222 @@
+"""Entry side of the feed: merges what the control instances say."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING
+
+import attrs
+
+from greengagemoor.codes import Code
+from greengagemoor.control.messages import (
+    OpKind,
+    OpReply,
+    OpRequest,
+    Received,
+    Send,
+)
+from greengagemoor.feed import messages as m
+from greengagemoor.feed.messages import SearcherState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+FETCH_AGAIN_S = 0.5
+READ_AGAIN_S = 0.25
+SETTLE_S = 1.0
+"""How long a starting entry waits for control instances that don't answer,
+after one has confirmed the document."""
+
+
+@attrs.define
+class _Source:
+    whole: bool = False
+    document: int = 0
+
+
+@attrs.define
+class _Fetch:
+    source: str
+    again_at: float
+
+
+class View:
+    """Searchers and document as this entry knows them.
+
+    A searcher's row with the highest sequence wins, whoever told it. An ended
+    start stays ended: a row that says ready with a lower sequence was held up
+    on its way.
+    """
+
+    def __init__(self, name: str, address: str, data_centre: str):
+        """Starts knowing nothing.
+
+        Args:
+            name: this instance.
+            address: where callers reach it.
+            data_centre: where it stands.
+        """
+        self.me = m.Subscribe(name, address, data_centre, ready=False)
+        self.number = 0
+        self.entries = 1
+        self.peers: tuple[str, ...] = ()
+        self.leaving = False
+        self._confirmed = 0
+        self._confirmed_at: float | None = None
+        self._sources: dict[str, _Source] = {}
+        self._rows: dict[str, m.SearcherRow] = {}
+        self._fetch: _Fetch | None = None
+        self._read_at = 0.0
+        self._op_ids = count(1)
+        self._now = 0.0
+        self._out: list = []
+
+    def step(self, now: float, msgs: Iterable[object]) -> list:
+        """Runs one tick.
+
+        Args:
+            now: seconds of a clock that doesn't go back.
+            msgs: ``LinkUp``, ``LinkDown``, ``Received``.
+
+        Returns:
+            ``Send``, ``SearcherLearnt``, ``DocumentLearnt``, ``ReadyChanged``.
+        """
+        self._now = now
+        self._out = []
+        for msg in msgs:
+            self._take(msg)
+        self._drive_fetch()
+        self._drive_read()
+        self._drive_ready()
+        return self._out
+
+    def next_wake(self) -> float:
+        """Returns when a tick is due although no message came."""
+        times = [self._now + SETTLE_S]
+        if self._fetch is not None:
+            times.append(self._fetch.again_at)
+        if self._confirmed_at is None:
+            times.append(self._read_at)
+        return min(times)
+
+    def leave(self) -> None:
+        """Takes this entry out of what callers are given."""
+        self.leaving = True
+
+    def _take(self, msg: object) -> None:
+        if isinstance(msg, m.LinkUp):
+            self._sources[msg.name] = _Source()
+            self._out.append(Send(msg.name, self.me))
+        elif isinstance(msg, m.LinkDown):
+            self._sources.pop(msg.name, None)
+        elif isinstance(msg, Received):
+            self._take_payload(msg.sender, msg.payload)
+
+    def _take_payload(self, sender: str, payload: object) -> None:
+        source = self._sources.setdefault(sender, _Source())
+        if isinstance(payload, m.SearcherRows):
+            source.whole = source.whole or payload.whole
+            for row in payload.rows:
+                self._merge(row)
+            self._out.append(Send(sender, m.RowsTaken(payload.number)))
+        elif isinstance(payload, m.DocumentNumber):
+            source.document = max(source.document, payload.number)
+        elif isinstance(payload, m.NumberedDocument):
+            self._take_document(payload.number, payload.packed)
+        elif isinstance(payload, m.KnownPeers):
+            self.peers = tuple(sorted({*self.peers, *payload.addresses}))
+            self.entries = max(self.entries, payload.entries)
+        elif isinstance(payload, OpReply):
+            self._take_read(payload)
+
+    def _merge(self, row: m.SearcherRow) -> None:
+        known = self._rows.get(row.searcher_id)
+        if known is not None:
+            row = _newer(known, row)
+            if row == known:
+                return
+        self._rows[row.searcher_id] = row
+        self._out.append(m.SearcherLearnt(row))
+
+    def _take_document(self, number: int, packed: bytes) -> None:
+        if number > self.number and packed:
+            self.number = number
+            self._out.append(m.DocumentLearnt(number, packed))
+        if self._fetch is not None and number >= self.number:
+            self._fetch = None
+
+    def _take_read(self, reply: OpReply) -> None:
+        if reply.code != Code.CURRENT:
+            return
+        self._take_document(reply.version, reply.packed)
+        if self._confirmed_at is None:
+            self._confirmed_at = self._now
+            self._confirmed = reply.version
+
+    def _drive_fetch(self) -> None:
+        """Fetches a newer document from one of those that have it."""
+        holders = [
+            name
+            for name, source in self._sources.items()
+            if source.document > self.number
+        ]
+        if not holders:
+            self._fetch = None
+            return
+        if self._fetch is not None and self._now < self._fetch.again_at:
+            return
+        last = self._fetch.source if self._fetch is not None else ""
+        others = [name for name in holders if name != last]
+        source = (others or holders)[0]
+        self._fetch = _Fetch(source, self._now + FETCH_AGAIN_S)
+        self._out.append(Send(source, m.WantNumbered(self.number)))
+
+    def _drive_read(self) -> None:
+        """Asks until a quorum has confirmed which document is current.
+
+        An entry that trusted the first control instance could serve an old
+        document after a restart, if that instance is cut off from the others.
+        """
+        if self._confirmed_at is not None or self._now < self._read_at:
+            return
+        self._read_at = self._now + READ_AGAIN_S
+        for name in self._sources:
+            request = OpRequest(
+                next(self._op_ids),
+                OpKind.READ_NUMBERED,
+                known_version=self.number,
+            )
+            self._out.append(Send(name, request))
+
+    def _drive_ready(self) -> None:
+        ready = not self.leaving and self._is_settled()
+        if ready == self.me.ready:
+            return
+        self.me = attrs.evolve(self.me, ready=ready)
+        self._out.append(m.ReadyChanged(ready))
+        for name in self._sources:
+            self._out.append(Send(name, self.me))
+
+    def _is_settled(self) -> bool:
+        if self.me.ready:
+            return True
+        if self._confirmed_at is None or not self.number:
+            return False
+        if self.number < self._confirmed:
+            return False
+        known = len(self.peers)
+        heard = sum(source.whole for source in self._sources.values())
+        waited = self._now - self._confirmed_at
+        return bool(heard) and (heard >= known or waited >= SETTLE_S)
+
+
+def _newer(known: m.SearcherRow, row: m.SearcherRow) -> m.SearcherRow:
+    """Returns the row that holds, of two about one start of a searcher."""
+    if SearcherState.GONE in (known.state, row.state):
+        kept = row if row.address and not known.address else known
+        return attrs.evolve(kept, state=SearcherState.GONE)
+    if row.sequence > known.sequence:
+        return row
+    if row.sequence == known.sequence and row.state is SearcherState.LOST:
+        return row
+    return known
--- /dev/null
+++ b/greengagemoor/forward/__init__.py
@@ -0,0 +1,4 @@
+"""Pure decisions on forwarded requests: placing, repeating, merging.
+
+No module here has a socket or a clock; ``decider.ForwardDecider`` is the way in.
+"""
--- /dev/null
+++ b/greengagemoor/forward/choosing.py
@@ -0,0 +1,132 @@
+"""Which searcher of a service gets a send."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from greengagemoor.feed.messages import SearcherState
+
+if TYPE_CHECKING:
+    from greengagemoor.forward.messages import SearcherLoad
+    from greengagemoor.forward.tables import Leg, Searcher, Tables
+
+RELAX_S = 4.0
+"""In this time most of what was learnt of a searcher's slowness fades, so that
+one that recovers gets sends again."""
+LOAD_FADES_S = 0.4
+"""A searcher's word on its load is old after a few work times."""
+LATE_FACTOR = 2.5
+"""A send that takes this many times the usual says that its searcher pauses;
+waiting for the answer to say so costs a pause for each further send."""
+NOISE = 0.15
+"""Spread of costs, so that entries don't all choose the same searcher."""
+OTHER_DATA_CENTRE = 1.05
+COLD = 1.6
+FAILING_WEIGHT = 6.0
+FAILING_SMOOTHING = 0.2
+FIRST_AVOID_S = 0.25
+LONGEST_AVOID_S = 2.0
+TRUSTED_S = 1.5
+"""A searcher that answered so lately is alive, whoever says it is lost."""
+
+
+def choose(tables: Tables, leg: Leg) -> Searcher | None:
+    """Returns the searcher with the lowest cost, None if none has a place.
+
+    A searcher that was asked before for this leg is left out.
+    """
+    rows = tables.by_service.get(leg.service, ())
+    fit = [
+        row
+        for row in rows
+        if row.searcher_id not in leg.asked and is_usable(tables, row)
+    ]
+    free = [row for row in fit if len(row.attempts) < row.cap]
+    if not free:
+        return None
+    median = tables.times_of(leg.request.route).median
+    return min(free, key=lambda row: _cost(tables, row, median))
+
+
+def is_usable(tables: Tables, row: Searcher) -> bool:
+    """Whether a searcher may be sent to now, places aside."""
+    if row.state in (SearcherState.DRAINING, SearcherState.GONE):
+        return False
+    if tables.now < row.avoid_until:
+        return False
+    if row.state is SearcherState.LOST:
+        return row.answered_at > tables.now - TRUSTED_S
+    return True
+
+
+def has_usable(tables: Tables, service: str) -> bool:
+    """Whether any searcher of the service may be sent to now."""
+    return any(is_usable(tables, r) for r in tables.by_service.get(service, ()))
+
+
+def _cost(tables: Tables, row: Searcher, median: float) -> float:
+    """Returns the expected time of a send in medians of its route."""
+    cost = _slowness(tables, row) * (1.0 + _queue(tables, row))
+    cost *= 1.0 + FAILING_WEIGHT * row.failing
+    if tables.now < row.cold_until:
+        cost *= COLD
+    if row.data_centre != tables.data_centre:
+        cost *= OTHER_DATA_CENTRE
+    cost += _lateness(tables, row, median)
+    return cost * (1.0 + NOISE * tables.rng.random())
+
+
+def _slowness(tables: Tables, row: Searcher) -> float:
+    age = max(0.0, tables.now - row.answered_at)
+    faded = math.exp(-age / RELAX_S)
+    return 1.0 + (row.slowness.value - 1.0) * faded
+
+
+def _queue(tables: Tables, row: Searcher) -> float:
+    """Returns how many work times a further request would wait there."""
+    age = max(0.0, tables.now - row.load_at)
+    others = row.others * math.exp(-age / LOAD_FADES_S)
+    busy = others + len(row.attempts)
+    slots = max(1, row.slots)
+    return max(0.0, busy + 1 - slots) / slots + 0.2 * busy / slots
+
+
+def _lateness(tables: Tables, row: Searcher, median: float) -> float:
+    if not row.attempts:
+        return 0.0
+    oldest = next(iter(row.attempts.values()))
+    ages = (tables.now - oldest.sent_at) / median
+    return ages if ages > LATE_FACTOR else 0.0
+
+
+def note_answer(tables: Tables, row: Searcher, ratio: float) -> None:
+    """Learns from an answer that took ``ratio`` medians of its route."""
+    row.slowness.value = _slowness(tables, row)
+    row.slowness.note(ratio)
+    row.answered_at = tables.now
+    row.failures = 0
+    row.failing *= 1.0 - FAILING_SMOOTHING
+
+
+def note_failure(tables: Tables, row: Searcher, *, unreachable: bool) -> None:
+    """Learns from a send that failed.
+
+    Args:
+        tables: the tables.
+        row: who failed.
+        unreachable: whether no connection stood, as after a crash; then the
+            searcher is left alone at once, and asked again ever more rarely.
+    """
+    row.failing += FAILING_SMOOTHING * (1.0 - row.failing)
+    row.failures += 1
+    if unreachable or row.failures > 2:
+        pause = FIRST_AVOID_S * 2 ** min(row.failures - 1, 6)
+        row.avoid_until = tables.now + min(pause, LONGEST_AVOID_S)
+
+
+def note_load(tables: Tables, row: Searcher, load: SearcherLoad) -> None:
+    """Learns a searcher's own count; own sends are counted apart."""
+    row.others = max(0.0, load.running + load.waiting - len(row.attempts))
+    row.slots = load.slots or row.slots
+    row.load_at = tables.now
--- /dev/null
+++ b/greengagemoor/forward/completion.py
@@ -0,0 +1,181 @@
+"""When a request is over, and with which answer."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from greengagemoor.forward import sending
+from greengagemoor.forward.mergers import GREATEST_RECORDS, mergers
+from greengagemoor.forward.messages import (
+    Ending,
+    Merged,
+    Outcome,
+    Respond,
+)
+
+if TYPE_CHECKING:
+    from greengagemoor.forward.tables import Leg, Request, Tables
+
+EPSILON = 1e-9
+RETRY_AFTER_S = {
+    Ending.NOT_RUN_NO_SEARCHER: 0.25,
+    Ending.NOT_RUN_BUSY: 0.1,
+    Ending.NOT_RUN_REFUSED: 0.1,
+    Ending.NOT_RUN_DEADLINE: 0.0,
+}
+"""Seconds after which a caller should come back: a searcher that restarts
+takes about as long as the longest pause, a queue a few work times."""
+
+
+def look(tables: Tables, request: Request) -> None:
+    """Ends a request if it can be ended now."""
+    if request.done:
+        return
+    if request.route.gather is None:
+        _look_single(tables, request)
+    else:
+        _look_gather(tables, request)
+
+
+def _look_single(tables: Tables, request: Request) -> None:
+    leg = request.legs[0]
+    if leg.answer is not None:
+        finish(tables, request, Ending.ANSWERED)
+    elif leg.dead and leg.failure is not None:
+        finish(tables, request, Ending.SEARCHER_FAILED)
+    elif leg.dead:
+        finish(tables, request, _failure(leg))
+
+
+def _failure(leg: Leg) -> Ending:
+    """Names the end of a leg without any answer; *not run* must be true."""
+    if leg.broken or leg.runs > 0:
+        return Ending.BROKEN
+    if leg.sends:
+        return Ending.NOT_RUN_REFUSED
+    return Ending.NOT_RUN_NO_SEARCHER
+
+
+def _look_gather(tables: Tables, request: Request) -> None:
+    answered = sum(leg.answer is not None for leg in request.legs)
+    is_open = any(leg.is_open for leg in request.legs)
+    if not is_open or (
+        tables.now >= request.give_at and is_enough(request, answered)
+    ):
+        _finish_gather(tables, request, answered)
+    elif _hopeless(request):
+        finish(tables, request, Ending.BELOW_COVERAGE)
+
+
+def is_enough(request: Request, answered: int) -> bool:
+    """Whether so many shards make an answer."""
+    least = request.route.gather.least_coverage * len(request.legs)
+    return answered > 0 and answered >= least - EPSILON
+
+
+def _hopeless(request: Request) -> bool:
+    possible = sum(not leg.dead for leg in request.legs)
+    return not is_enough(request, possible)
+
+
+def _finish_gather(tables: Tables, request: Request, answered: int) -> None:
+    if not is_enough(request, answered):
+        ran = any(leg.runs > 0 or leg.broken for leg in request.legs)
+        ending = Ending.BELOW_COVERAGE if ran else Ending.NOT_RUN_REFUSED
+        finish(tables, request, ending)
+    elif answered == len(request.legs):
+        finish(tables, request, Ending.ANSWERED)
+    else:
+        finish(tables, request, Ending.PARTIAL)
+
+
+def finish(tables: Tables, request: Request, ending: Ending) -> None:
+    """Gives the final answer, and lets go of what still runs."""
+    request.done = True
+    tables.requests.pop(request.token, None)
+    if ending is not Ending.CALLER_GONE:
+        tables.out.append(_respond(tables, request, ending))
+    lasting = ending in (Ending.ANSWERED, Ending.PARTIAL)
+    for leg in request.legs:
+        for attempt in list(leg.attempts):
+            if lasting:
+                # A second later its answer is here, and the connection stays.
+                at = tables.now + tables.policy.linger_s
+                cut = partial(_cut_lingering, tables, attempt)
+                tables.set_timer(at, cut)
+            else:
+                sending.cancel(tables, attempt)
+
+
+def _cut_lingering(tables: Tables, attempt) -> None:
+    if attempt.attempt_id in tables.attempts:
+        sending.note_time(tables, attempt)
+        sending.cancel(tables, attempt)
+
+
+def _respond(tables: Tables, request: Request, ending: Ending) -> Respond:
+    gather = request.route.gather
+    answer = None
+    merged = None
+    if gather is None:
+        leg = request.legs[0] if request.legs else None
+        answer = (leg.answer or leg.failure) if leg else None
+    elif ending in (Ending.ANSWERED, Ending.PARTIAL):
+        merged = _merge(request)
+    return Respond(
+        token=request.token,
+        request_id=request.request_id,
+        route=request.route,
+        ending=ending,
+        elapsed_s=tables.now - request.arrived_at,
+        sends=request.sends,
+        answer=answer,
+        merged=merged,
+        retry_after_s=RETRY_AFTER_S.get(ending),
+        detail=_describe(request, ending),
+    )
+
+
+def _merge(request: Request) -> Merged:
+    good = [leg.answer for leg in request.legs if leg.answer is not None]
+    merge = mergers.get(GREATEST_RECORDS)
+    return Merged(
+        body=merge((a.body for a in good), request.route.gather.top),
+        signatures=tuple(answer.signature for answer in good),
+        missing=len(request.legs) - len(good),
+    )
+
+
+def _describe(request: Request, ending: Ending) -> str:
+    """Names the services without an answer and why, for the log."""
+    if ending is Ending.ANSWERED:
+        return ""
+    missing = (leg for leg in request.legs if leg.answer is None)
+    return ",".join(f"{leg.service}:{_state(leg)}" for leg in missing)
+
+
+def _state(leg: Leg) -> str:
+    if leg.waiting:
+        return "waits"
+    if leg.attempts:
+        asked = "+".join(a.searcher.searcher_id for a in leg.attempts)
+        return f"late/{asked}"
+    if leg.failure is not None:
+        return f"failed{leg.failure.status}"
+    if leg.broken:
+        return "broken"
+    return "refused" if leg.sends else "none"
+
+
+def end_leg(
+    tables: Tables, leg: Leg, outcome: Outcome, *, stale: bool
+) -> None:
+    """Goes on after a send ended: again, or the leg is given up."""
+    if leg.answer is None and not sending.repeat(
+        tables, leg, outcome, stale=stale
+    ):
+        leg.dead = True
+    look(tables, leg.request)
+
+
--- /dev/null
+++ b/greengagemoor/forward/decider.py
@@ -0,0 +1,258 @@
+"""The forward decider: requests in, sends and answers out."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from greengagemoor.feed.messages import SearcherLearnt, SearcherState
+from greengagemoor.forward import choosing, completion, sending
+from greengagemoor.forward.messages import (
+    Arrived,
+    AttemptEnded,
+    CallerGone,
+    Ending,
+)
+from greengagemoor.forward.tables import (
+    Leg,
+    Policy,
+    Request,
+    Searcher,
+    Tables,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from greengagemoor.feed.messages import SearcherRow
+    from greengagemoor.routing.routes import RouteTable
+
+END_MARGIN_S = 0.01
+"""An answer leaves this long before the caller gives up."""
+
+
+class ForwardDecider:
+    """Places, repeats and merges; see ``forward.messages`` for its words."""
+
+    def __init__(
+        self, data_centre: str, rng: random.Random, policy: Policy | None = None
+    ):
+        """Starts without searchers.
+
+        Args:
+            data_centre: where this entry stands.
+            rng: seeded source, for splits and ties.
+            policy: limits, or None for the defaults.
+        """
+        self.tables = Tables(data_centre, policy or Policy(), rng)
+
+    def step(self, now: float, msgs: Iterable[object]) -> list:
+        """Runs one tick.
+
+        Args:
+            now: seconds of a clock that doesn't go back.
+            msgs: ``Arrived``, ``CallerGone``, ``AttemptEnded``,
+                ``SearcherLearnt``.
+
+        Returns:
+            ``StartAttempt``, ``CancelAttempt`` and ``Respond``.
+        """
+        tables = self.tables
+        tables.now = now
+        tables.out = []
+        for msg in msgs:
+            self._take(msg)
+        tables.run_timers()
+        return tables.out
+
+    def next_wake(self) -> float | None:
+        """Returns when a tick is due although no message came."""
+        timers = self.tables.timers
+        return timers[0][0] if timers else None
+
+    def set_routes(self, table: RouteTable) -> None:
+        """Takes in the connection caps of a new document."""
+        tables = self.tables
+        tables.caps = {
+            rules.name: rules.connection_cap
+            for rules in table.services.values()
+        }
+        for searcher in tables.searchers.values():
+            searcher.cap = self._cap(searcher.service)
+
+    def set_entries(self, number: int) -> None:
+        """Takes in how many entries share each searcher."""
+        if number <= self.tables.entries:
+            return
+        self.tables.entries = number
+        for searcher in self.tables.searchers.values():
+            searcher.cap = self._cap(searcher.service)
+
+    def _cap(self, service: str) -> int:
+        """Returns this entry's share of a searcher's connections.
+
+        A searcher resets connections beyond its cap. The share is a fixed
+        part, by a number of entries that only grows, so that a cut that hides
+        entries can't raise it.
+        """
+        tables = self.tables
+        places = max(tables.policy.places, tables.entries)
+        return max(1, tables.caps.get(service, places) // places)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way."""
+        return not self.tables.requests
+
+    def _take(self, msg: object) -> None:
+        if isinstance(msg, AttemptEnded):
+            self._take_ended(msg)
+        elif isinstance(msg, Arrived):
+            self._take_arrived(msg)
+        elif isinstance(msg, CallerGone):
+            request = self.tables.requests.get(msg.token)
+            if request is not None:
+                completion.finish(self.tables, request, Ending.CALLER_GONE)
+        elif isinstance(msg, SearcherLearnt):
+            self._take_searcher(msg.row)
+
+    def _take_ended(self, msg: AttemptEnded) -> None:
+        leg = sending.take_ended(self.tables, msg)
+        if leg is None:
+            return
+        outcome = msg.outcome
+        completion.end_leg(self.tables, leg, outcome, stale=msg.stale)
+
+    def _take_arrived(self, msg: Arrived) -> None:
+        tables = self.tables
+        request = self._open(msg)
+        tables.requests[msg.token] = request
+        if tables.now >= request.ends_at:
+            completion.finish(tables, request, Ending.NOT_RUN_DEADLINE)
+            return
+        if not self._can_serve(request):
+            completion.finish(tables, request, Ending.NOT_RUN_NO_SEARCHER)
+            return
+        for leg in request.legs:
+            tables.budget_of(leg.service).note_request()
+            if sending.send(tables, leg):
+                continue
+            if choosing.has_usable(tables, leg.service):
+                sending.wait_for_place(tables, leg)
+            else:
+                leg.dead = True
+        self._arm(request)
+        completion.look(tables, request)
+
+    def _open(self, msg: Arrived) -> Request:
+        """Makes the row, with the times by which it must end."""
+        tables = self.tables
+        route = msg.route
+        now = tables.now
+        waited = 0.0
+        ends_at = now + route.time_limit_s - END_MARGIN_S
+        if msg.patience_s is not None:
+            # A caller that comes again has less patience left than others on
+            # this route; the difference is what it has waited already.
+            most = max(tables.patience.get(route.name, 0.0), msg.patience_s)
+            tables.patience[route.name] = most
+            waited = most - msg.patience_s
+            trip = tables.policy.caller_trip_s / 2
+            ends_at = min(ends_at, now + msg.patience_s - trip)
+        left = route.objective_s - waited - tables.policy.caller_trip_s
+        if left <= 0:
+            # Late already: a whole answer is worth one more objective.
+            left = route.objective_s
+        request = Request(
+            token=msg.token,
+            request_id=msg.request_id,
+            route=route,
+            arrived_at=now,
+            give_at=min(ends_at, now + left),
+            ends_at=ends_at,
+        )
+        request.legs = [Leg(request, name) for name in self._services(route)]
+        return request
+
+    def _services(self, route) -> tuple[str, ...]:
+        if route.gather is not None:
+            return route.gather.services
+        if len(route.split) == 1:
+            return (route.split[0].service,)
+        weights = [part.weight for part in route.split]
+        part = self.tables.rng.choices(route.split, weights)[0]
+        return (part.service,)
+
+    def _can_serve(self, request: Request) -> bool:
+        """Whether enough services have a searcher, before any is asked.
+
+        When all searchers of a shard are down, an answer below the floor
+        would be made of work that is thrown away.
+        """
+        usable = sum(
+            choosing.has_usable(self.tables, leg.service)
+            for leg in request.legs
+        )
+        if request.route.gather is None:
+            return usable > 0
+        return completion.is_enough(request, usable)
+
+    def _arm(self, request: Request) -> None:
+        tables = self.tables
+        look = partial(completion.look, tables, request)
+        if request.route.gather is not None:
+            tables.set_timer(request.give_at, look)
+        else:
+            busy = tables.policy.busy_share * request.route.objective_s
+            at = tables.now + busy
+            tables.set_timer(at, partial(self._end_busy, request))
+        tables.set_timer(request.ends_at, partial(self._end, request))
+
+    def _end_busy(self, request: Request) -> None:
+        """Refuses what found no place in good time, so that it can go on."""
+        if not request.done and not request.sends:
+            completion.finish(self.tables, request, Ending.NOT_RUN_BUSY)
+
+    def _end(self, request: Request) -> None:
+        if request.done:
+            return
+        answered = sum(leg.answer is not None for leg in request.legs)
+        gather = request.route.gather
+        if gather is not None and completion.is_enough(request, answered):
+            completion.finish(self.tables, request, Ending.PARTIAL)
+        elif request.sends:
+            completion.finish(self.tables, request, Ending.NO_ANSWER)
+        else:
+            completion.finish(self.tables, request, Ending.NOT_RUN_BUSY)
+
+    def _take_searcher(self, row: SearcherRow) -> None:
+        searcher = self.tables.searchers.get(row.searcher_id)
+        if searcher is None:
+            if row.state is SearcherState.GONE or not row.address:
+                return
+            searcher = self._add(row)
+        searcher.state = row.state
+        if row.state is SearcherState.READY:
+            searcher.cold_until = self.tables.now + row.cold_left_s
+        if row.state is SearcherState.GONE:
+            self._remove(searcher)
+
+    def _add(self, row: SearcherRow) -> Searcher:
+        searcher = Searcher(
+            searcher_id=row.searcher_id,
+            service=row.service,
+            address=row.address,
+            data_centre=row.data_centre,
+            state=row.state,
+            slots=max(1, row.slots),
+            cap=self._cap(row.service),
+        )
+        sending.add_searcher(self.tables, searcher)
+        return searcher
+
+    def _remove(self, searcher: Searcher) -> None:
+        del self.tables.searchers[searcher.searcher_id]
+        self.tables.by_service[searcher.service].remove(searcher)
+
+
--- /dev/null
+++ b/greengagemoor/forward/mergers.py
@@ -0,0 +1,34 @@
+"""Mergers: how the parts of a gather become one body."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from greengagemoor.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+RECORD_BYTES = 16
+GREATEST_RECORDS = "greatest_records"
+
+mergers: Registry = Registry("merger")
+"""Functions (parts, top) -> body."""
+
+
+@mergers.register(GREATEST_RECORDS)
+def merge_greatest(parts: Iterable[bytes], top: int) -> bytes:
+    """Returns the greatest records of all parts, falling, equal ones kept.
+
+    Args:
+        parts: records of fixed size in any order; a shorter rest is none.
+        top: most records in the result.
+    """
+    records = (record for part in parts for record in _records(part))
+    return b"".join(heapq.nlargest(top, records))
+
+
+def _records(part: bytes) -> Iterator[bytes]:
+    whole = len(part) - len(part) % RECORD_BYTES
+    return (part[i : i + RECORD_BYTES] for i in range(0, whole, RECORD_BYTES))
--- /dev/null
+++ b/greengagemoor/forward/messages.py
@@ -0,0 +1,182 @@
+"""Messages of the forward decider. Times are seconds of the process clock."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from greengagemoor.routing.routes import Route
+
+
+class Ending(enum.Enum):
+    """How a request ended, for answers, logs and metrics."""
+
+    ANSWERED = "answered"
+    PARTIAL = "partial"
+    SEARCHER_FAILED = "searcher_failed"
+    BELOW_COVERAGE = "below_coverage"
+    NO_ANSWER = "no_answer"
+    BROKEN = "broken"
+    NOT_RUN_NO_SEARCHER = "not_run_no_searcher"
+    NOT_RUN_BUSY = "not_run_busy"
+    NOT_RUN_REFUSED = "not_run_refused"
+    NOT_RUN_DEADLINE = "not_run_deadline"
+    CALLER_GONE = "caller_gone"
+
+
+NOT_RUN = frozenset(
+    {
+        Ending.NOT_RUN_NO_SEARCHER,
+        Ending.NOT_RUN_BUSY,
+        Ending.NOT_RUN_REFUSED,
+        Ending.NOT_RUN_DEADLINE,
+    }
+)
+
+
+class Outcome(enum.Enum):
+    """What became of one send.
+
+    ``NOT_RUN`` is the searcher's own promise. ``NOT_SENT`` is a connection
+    that never stood: nothing of the request left this process. After
+    ``BROKEN`` the request may have run.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    NOT_SENT = "not_sent"
+    WRONG_SEARCHER = "wrong_searcher"
+    BROKEN = "broken"
+
+
+# In.
+
+
+@attrs.frozen
+class Arrived:
+    """A caller's request that has a route.
+
+    Attributes:
+        token: names the request until its ``Respond``.
+        patience_s: how long the caller still waits; None if it didn't say.
+    """
+
+    token: int
+    request_id: str
+    route: Route
+    patience_s: float | None
+
+
+@attrs.frozen
+class CallerGone:
+    """The caller closed its connection before its answer."""
+
+    token: int
+
+
+@attrs.frozen
+class SearcherLoad:
+    """A searcher's own count of requests, at its last answer."""
+
+    running: int
+    waiting: int
+    slots: int
+    work_percent: int = 100
+
+
+@attrs.frozen
+class SearcherAnswer:
+    """A whole answer of a searcher.
+
+    Attributes:
+        signature: proves to the caller that this searcher answered.
+        headers: to hand on unchanged.
+        is_plain: False if the body is encoded, so that it isn't the body
+            that the searcher signed.
+        closes: the searcher ends the connection, as it does when it leaves.
+    """
+
+    status: int
+    signature: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    is_plain: bool = True
+    load: SearcherLoad | None = None
+    closes: bool = False
+
+
+@attrs.frozen
+class AttemptEnded:
+    """A send ended.
+
+    Attributes:
+        stale: the connection had been idle and broke before any byte of an
+            answer: the searcher had dropped it unannounced.
+        answer: for ``ANSWERED`` and ``NOT_RUN``.
+    """
+
+    attempt_id: int
+    outcome: Outcome
+    answer: SearcherAnswer | None = None
+    stale: bool = False
+    reason: str = ""
+
+
+# Out.
+
+
+@attrs.frozen
+class StartAttempt:
+    """Send the caller's request to a searcher."""
+
+    attempt_id: int
+    token: int
+    searcher_id: str
+    address: str
+    deadline: float
+
+
+@attrs.frozen
+class CancelAttempt:
+    """Close the connection of this send; the searcher drops the request."""
+
+    attempt_id: int
+
+
+@attrs.frozen
+class Merged:
+    """The answer to a gather.
+
+    Attributes:
+        signatures: of the searchers whose records are in.
+    """
+
+    body: bytes
+    signatures: tuple[str, ...]
+    missing: int
+
+
+@attrs.frozen
+class Respond:
+    """The final answer to a request.
+
+    Attributes:
+        answer: a searcher's own answer, to hand on unchanged.
+        merged: the answer to a gather.
+        retry_after_s: when to come back; None if that doesn't apply.
+        sends: how often the request was sent.
+    """
+
+    token: int
+    request_id: str
+    route: Route
+    ending: Ending
+    elapsed_s: float
+    sends: int
+    answer: SearcherAnswer | None = None
+    merged: Merged | None = None
+    retry_after_s: float | None = None
+    detail: str = ""
--- /dev/null
+++ b/greengagemoor/forward/sending.py
@@ -0,0 +1,253 @@
+"""Sends a leg's request, again or a second time where that is allowed."""
+
+from __future__ import annotations
+
+import heapq
+from functools import partial
+from typing import TYPE_CHECKING
+
+from greengagemoor.forward import choosing
+from greengagemoor.forward.messages import (
+    AttemptEnded,
+    CancelAttempt,
+    Outcome,
+    StartAttempt,
+)
+from greengagemoor.forward.tables import Attempt
+from greengagemoor.routing.routes import Grade
+
+if TYPE_CHECKING:
+    from greengagemoor.forward.tables import Leg, Searcher, Tables
+
+MOST_SENDS = 5
+"""Most sends of one leg, those included that never ran."""
+LOOK_AGAIN_S = 0.01
+"""Interval of looking for a place or a token; a tenth of a work time."""
+
+
+def send(tables: Tables, leg: Leg, *, second: bool = False) -> bool:
+    """Sends to the best searcher that has a place; False if none has."""
+    searcher = choosing.choose(tables, leg)
+    if searcher is None:
+        return False
+    request = leg.request
+    attempt = Attempt(
+        next(tables.ids), leg, searcher, tables.now, is_second=second
+    )
+    tables.attempts[attempt.attempt_id] = attempt
+    searcher.attempts[attempt.attempt_id] = attempt
+    if not leg.sends:
+        leg.first_sent_at = tables.now
+    leg.attempts.append(attempt)
+    leg.asked.append(searcher.searcher_id)
+    leg.runs += 1
+    leg.sends += 1
+    tables.out.append(
+        StartAttempt(
+            attempt.attempt_id,
+            request.token,
+            searcher.searcher_id,
+            searcher.address,
+            request.ends_at,
+        )
+    )
+    if request.route.grade is Grade.REPEATABLE:
+        _arm_hedge(tables, leg)
+    return True
+
+
+def wait_for_place(tables: Tables, leg: Leg) -> None:
+    """Queues a leg until a searcher has a place, most urgent first.
+
+    Answers a burst: without the queue every leg beyond the places would be
+    missing from its answer, also when a place is free a millisecond later.
+    """
+    if leg.waiting:
+        return
+    leg.waiting = True
+    queue = tables.waiting.setdefault(leg.service, [])
+    item = (leg.request.route.rank, next(tables.ids), leg)
+    heapq.heappush(queue, item)
+    if len(queue) == 1:
+        _look_again(tables, leg.service)
+
+
+def _look_again(tables: Tables, service: str) -> None:
+    at = tables.now + LOOK_AGAIN_S
+    tables.set_timer(at, partial(_serve_on_time, tables, service))
+
+
+def _serve_on_time(tables: Tables, service: str) -> None:
+    serve_waiting(tables, service)
+    if tables.waiting.get(service):
+        _look_again(tables, service)
+
+
+def serve_waiting(tables: Tables, service: str) -> None:
+    """Sends what waits for the service while there are places."""
+    queue = tables.waiting.get(service)
+    while queue:
+        leg = queue[0][2]
+        wanted = leg.is_open and not leg.request.done and not leg.attempts
+        if wanted and not send(tables, leg):
+            return
+        heapq.heappop(queue)
+        leg.waiting = False
+
+
+def _arm_hedge(tables: Tables, leg: Leg) -> None:
+    times = tables.times_of(leg.request.route)
+    delay = times.quantile(tables.policy.hedge_quantile)
+    at = tables.now + delay
+    tables.set_timer(at, partial(_hedge, tables, leg, leg.sends))
+
+
+def _hedge(tables: Tables, leg: Leg, sends: int) -> None:
+    """Sends a second time, beside a send that is late.
+
+    Each searcher pauses now and then; one pause in any of a query's shards
+    delays the whole answer. Both sends run until one has answered.
+    """
+    request = leg.request
+    if request.done or not leg.is_open or leg.sends != sends:
+        return
+    if not may_send_more(tables, leg):
+        return
+    budget = tables.budget_of(leg.service)
+    sent = budget.tokens >= 1.0 and send(tables, leg, second=True)
+    if sent:
+        budget.take()
+    else:
+        at = tables.now + LOOK_AGAIN_S
+        tables.set_timer(at, partial(_hedge, tables, leg, sends))
+
+
+def may_send_more(tables: Tables, leg: Leg) -> bool:
+    """Whether the rules allow one more searcher for this leg."""
+    request = leg.request
+    return (
+        leg.runs < request.route.attempts
+        and leg.sends < MOST_SENDS
+        and tables.now < request.ends_at
+    )
+
+
+def take_ended(tables: Tables, msg: AttemptEnded) -> Leg | None:
+    """Takes in the end of a send; returns its leg if it still matters."""
+    attempt = tables.attempts.pop(msg.attempt_id, None)
+    if attempt is None:
+        return None
+    leg, searcher = attempt.leg, attempt.searcher
+    searcher.attempts.pop(msg.attempt_id, None)
+    leg.attempts.remove(attempt)
+    if msg.answer is not None and msg.answer.load is not None:
+        choosing.note_load(tables, searcher, msg.answer.load)
+    _learn(tables, attempt, msg)
+    if msg.outcome in (
+        Outcome.NOT_RUN,
+        Outcome.NOT_SENT,
+        Outcome.WRONG_SEARCHER,
+    ):
+        leg.runs -= 1
+    if msg.outcome is Outcome.ANSWERED:
+        _take_answer(leg, msg)
+    elif msg.outcome is Outcome.BROKEN:
+        leg.broken = True
+    serve_waiting(tables, leg.service)
+    return None if leg.request.done else leg
+
+
+def _take_answer(leg: Leg, msg: AttemptEnded) -> None:
+    answer = msg.answer
+    if is_good(answer):
+        leg.answer = leg.answer or answer
+    else:
+        leg.failure = answer
+
+
+def is_good(answer) -> bool:
+    """Whether an answer is a success that its searcher signed."""
+    return (
+        200 <= answer.status < 300
+        and bool(answer.signature)
+        and answer.is_plain
+    )
+
+
+def _learn(tables: Tables, attempt: Attempt, msg: AttemptEnded) -> None:
+    searcher = attempt.searcher
+    if msg.outcome is Outcome.WRONG_SEARCHER:
+        # Another start has the address now; this one won't come back.
+        searcher.avoid_until = float("inf")
+    elif msg.outcome is Outcome.NOT_SENT:
+        choosing.note_failure(tables, searcher, unreachable=True)
+    elif msg.outcome is Outcome.BROKEN:
+        if not msg.stale:
+            choosing.note_failure(tables, searcher, unreachable=False)
+    elif msg.outcome is Outcome.NOT_RUN:
+        searcher.others += 1
+        searcher.avoid_until = max(searcher.avoid_until, tables.now + 0.02)
+    elif not is_good(msg.answer):
+        choosing.note_failure(tables, searcher, unreachable=False)
+    else:
+        note_time(tables, attempt)
+
+
+def note_time(tables: Tables, attempt: Attempt) -> None:
+    """Learns how long a send took, or at least took when it was cut."""
+    times = tables.times_of(attempt.leg.request.route)
+    elapsed = tables.now - attempt.sent_at
+    ratio = elapsed / max(times.median, 0.0005)
+    choosing.note_answer(tables, attempt.searcher, ratio)
+    times.note(elapsed)
+
+
+def repeat(tables: Tables, leg: Leg, outcome: Outcome, *, stale: bool) -> bool:
+    """Sends again after a send that ended without a good answer.
+
+    Returns:
+        Whether the leg goes on: by a new send, or by one still under way.
+    """
+    if leg.attempts or leg.waiting:
+        return True
+    if leg.broken and leg.request.route.grade is not Grade.REPEATABLE:
+        return False
+    if outcome is Outcome.ANSWERED and (
+        leg.request.route.grade is not Grade.REPEATABLE
+    ):
+        return False
+    if not may_send_more(tables, leg):
+        return False
+    # What never reached a searcher costs it nothing, so no token either.
+    free = outcome is Outcome.NOT_SENT or stale
+    if not free and not tables.budget_of(leg.service).take():
+        return False
+    if stale and leg.asked:
+        leg.asked.pop()
+    if send(tables, leg):
+        return True
+    return _send_to_asked(tables, leg, outcome)
+
+
+def _send_to_asked(tables: Tables, leg: Leg, outcome: Outcome) -> bool:
+    """Falls back to searchers that were asked before, for lack of others."""
+    if outcome not in (Outcome.NOT_RUN, Outcome.BROKEN, Outcome.ANSWERED):
+        return False
+    leg.asked.clear()
+    return send(tables, leg)
+
+
+def cancel(tables: Tables, attempt: Attempt) -> None:
+    """Closes a send; what it took so far is learnt."""
+    if tables.attempts.pop(attempt.attempt_id, None) is None:
+        return
+    attempt.searcher.attempts.pop(attempt.attempt_id, None)
+    if attempt in attempt.leg.attempts:
+        attempt.leg.attempts.remove(attempt)
+    tables.out.append(CancelAttempt(attempt.attempt_id))
+
+
+def add_searcher(tables: Tables, searcher: Searcher) -> None:
+    """Adds a searcher to its service."""
+    tables.searchers[searcher.searcher_id] = searcher
+    tables.by_service.setdefault(searcher.service, []).append(searcher)
--- /dev/null
+++ b/greengagemoor/forward/tables.py
@@ -0,0 +1,189 @@
+"""Rows of the forward decider: searchers, requests, legs and attempts."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from itertools import count
+from typing import TYPE_CHECKING
+
+import attrs
+
+from greengagemoor.feed.messages import SearcherState
+from greengagemoor.forward.budget import SendBudget
+from greengagemoor.forward.timing import RouteTimes, Slowness
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagemoor.forward.messages import SearcherAnswer
+    from greengagemoor.routing.routes import Route
+
+
+@attrs.frozen
+class Policy:
+    """Limits and delays of the forward decider; times in seconds.
+
+    Attributes:
+        retry_ratio: second sends for each request of a service.
+        retry_burst: second sends that may come at once, in each service.
+        hedge_quantile: a send later than this share of the route's answers
+            gets a second one.
+        caller_trip_s: what a caller's clock has run before a request is here,
+            and until its answer is there: a connection, and two ways of 3 ms.
+        linger_s: how long a send whose answer is no longer needed may go on
+            before its connection is closed.
+        busy_share: share of the objective that a request waits for a place.
+        places: the number of entries that share a connection cap, at least.
+    """
+
+    retry_ratio: float = 0.17
+    retry_burst: float = 2.0
+    hedge_quantile: float = 0.9
+    caller_trip_s: float = 0.016
+    linger_s: float = 0.03
+    busy_share: float = 0.2
+    places: int = 10
+
+
+@attrs.define(eq=False)
+class Searcher:
+    """One start of a searcher, as this entry sees it.
+
+    Attributes:
+        others: requests of other entries there, at its last word.
+        failing: smoothed share of sends that failed.
+        avoid_until: it isn't chosen before, after failures in a row.
+    """
+
+    searcher_id: str
+    service: str
+    address: str
+    data_centre: str
+    state: SearcherState
+    slots: int
+    cold_until: float = 0.0
+    cap: int = 4
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    slowness: Slowness = attrs.field(factory=Slowness)
+    answered_at: float = float("-inf")
+    others: float = 0.0
+    work_factor: float = 1.0
+    load_at: float = float("-inf")
+    failing: float = 0.0
+    failures: int = 0
+    avoid_until: float = float("-inf")
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One send that has not ended."""
+
+    attempt_id: int
+    leg: Leg
+    searcher: Searcher
+    sent_at: float
+    is_second: bool
+
+
+@attrs.define(eq=False)
+class Leg:
+    """What a request wants from one service.
+
+    Attributes:
+        runs: sends that may have run.
+        dead: nothing more will be sent, and no send is under way.
+    """
+
+    request: Request
+    service: str
+    attempts: list[Attempt] = attrs.field(factory=list)
+    asked: list[str] = attrs.field(factory=list)
+    runs: int = 0
+    sends: int = 0
+    first_sent_at: float = 0.0
+    answer: SearcherAnswer | None = None
+    failure: SearcherAnswer | None = None
+    waiting: bool = False
+    dead: bool = False
+    broken: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether an answer may still come."""
+        return self.answer is None and not self.dead
+
+
+@attrs.define(eq=False)
+class Request:
+    """A caller's request until its answer.
+
+    Attributes:
+        give_at: from then on an answer with enough shards is given at once.
+        ends_at: the last moment for an answer.
+    """
+
+    token: int
+    request_id: str
+    route: Route
+    arrived_at: float
+    give_at: float
+    ends_at: float
+    legs: list[Leg] = attrs.field(factory=list)
+    done: bool = False
+
+    @property
+    def sends(self) -> int:
+        """How often the request was sent."""
+        return sum(leg.sends for leg in self.legs)
+
+
+@attrs.define(eq=False)
+class Tables:
+    """All state of the decider and its output of a tick."""
+
+    data_centre: str
+    policy: Policy
+    rng: random.Random
+    now: float = 0.0
+    out: list = attrs.field(factory=list)
+    entries: int = 1
+    caps: dict[str, int] = attrs.field(factory=dict)
+    searchers: dict[str, Searcher] = attrs.field(factory=dict)
+    by_service: dict[str, list[Searcher]] = attrs.field(factory=dict)
+    requests: dict[int, Request] = attrs.field(factory=dict)
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    waiting: dict[str, list[tuple[int, int, Leg]]] = attrs.field(factory=dict)
+    budgets: dict[str, SendBudget] = attrs.field(factory=dict)
+    times: dict[str, RouteTimes] = attrs.field(factory=dict)
+    patience: dict[str, float] = attrs.field(factory=dict)
+    ids: count = attrs.field(factory=lambda: count(1))
+    timers: list = attrs.field(factory=list)
+
+    def budget_of(self, service: str) -> SendBudget:
+        """Returns the service's budget for second sends."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            policy = self.policy
+            budget = SendBudget(policy.retry_ratio, policy.retry_burst)
+            self.budgets[service] = budget
+        return budget
+
+    def times_of(self, route: Route) -> RouteTimes:
+        """Returns what sends on the route usually take."""
+        times = self.times.get(route.name)
+        if times is None:
+            # Objectives are some four times the usual work time.
+            times = RouteTimes(route.objective_s / 4)
+            self.times[route.name] = times
+        return times
+
+    def set_timer(self, at: float, call: Callable[[], None]) -> None:
+        """Calls ``call`` in the first tick from ``at`` on."""
+        heapq.heappush(self.timers, (at, next(self.ids), call))
+
+    def run_timers(self) -> None:
+        """Calls what is due."""
+        while self.timers and self.timers[0][0] <= self.now:
+            _, _, call = heapq.heappop(self.timers)
+            call()
--- a/greengagemoor/log.py
+++ b/greengagemoor/log.py
@@ -8,14 +8,18 @@
 from pathlib import Path
 from typing import Any
 
-from loguru import logger
+from greengagemoor.util.linewriter import LineWriter
 
 MOST_FRAMES = 8
 _FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}"
 
+_plain: LineWriter | None = None
+
 
 def set_up(level: str, instance: str) -> None:
     """Sends log lines of at least ``level`` to standard error."""
+    from loguru import logger
+
     logger.remove()
     logger.add(
         sys.stderr, level=level, format=_FORMAT, backtrace=False, diagnose=False
@@ -43,6 +47,26 @@
     )
 
 
+def set_up_plain(instance: str) -> LineWriter:
+    """Sends log lines to standard output without ever blocking.
+
+    loguru stays out of these processes: its import costs memory in each of
+    them, and its sinks wait for a reader that has stopped reading.
+
+    Returns:
+        The writer; someone must call its ``flush`` regularly.
+    """
+    global _plain
+    _plain = LineWriter(sys.stdout.fileno(), instance)
+    return _plain
+
+
 def event(name: str, level: str = "INFO", **fields: Any) -> None:
     """Logs one event."""
+    if _plain is not None:
+        if level != "DEBUG":
+            _plain.write(level, pairs(event=name, **fields))
+        return
+    from loguru import logger
+
     logger.opt(depth=1).log(level, "{}", pairs(event=name, **fields))
--- /dev/null
+++ b/greengagemoor/platform/boot.py
@@ -0,0 +1,61 @@
+"""The platform's settings file: lines of ``a.b=value``."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from greengagemoor.errors import SettingsError
+from greengagemoor.serving.settings import ServingSettings
+
+BOOT_VARIABLE = "GREENGAGEMOOR_BOOT"
+DEFAULT_PATH = "/etc/greengagemoor/boot.conf"
+
+
+def boot_path() -> Path:
+    """Returns where the settings file lies."""
+    return Path(os.environ.get(BOOT_VARIABLE, DEFAULT_PATH))
+
+
+def read_boot(path: Path) -> ServingSettings:
+    """Reads the settings of this process.
+
+    Fields that are not listed here are new or of no use to us.
+
+    Raises:
+        SettingsError: a field is missing or malformed.
+    """
+    try:
+        return _build(_fields(path.read_text()))
+    except KeyError as exc:
+        raise SettingsError([f"{path}: {exc.args[0]} is missing"]) from exc
+    except (OSError, ValueError) as exc:
+        raise SettingsError([f"{path}: {exc}"]) from exc
+
+
+def _fields(text: str) -> dict[str, str]:
+    pairs = (line.partition("=") for line in text.splitlines() if "=" in line)
+    return {key.strip(): value.strip() for key, _, value in pairs}
+
+
+def _build(fields: dict[str, str]) -> ServingSettings:
+    ip = fields["ip"]
+    peer_port = fields["internal-port-range"].partition(",")[0]
+    seeds = (s for s in fields["seed-addrs"].split(",") if s)
+    return ServingSettings(
+        instance=ip,
+        data_centre=fields["zone"],
+        peer_address=f"{ip}:{peer_port}",
+        # These are operators' addresses; our own traffic has one port
+        # everywhere.
+        seeds=tuple(f"{s.partition(':')[0]}:{peer_port}" for s in seeds),
+        new_group=fields.get("bootstrap") == "true",
+        caller_address=fields.get("listen-addrs.front", ""),
+        health_address=fields.get("listen-addrs.ready", ""),
+        control_address=fields.get("listen-addrs.control", ""),
+        directory_address=fields.get("listen-addrs.directory", ""),
+        data_folder=fields.get("data-dir", ""),
+        announce_s=float(fields.get("heartbeat-ms", "1200")) / 1000,
+        grace_s=float(fields.get("bounds.grace-s", "6")),
+        retry_ratio=float(fields.get("bounds.retry-budget-ratio", "0.2")),
+    )
--- /dev/null
+++ b/greengagemoor/platform/dialect.py
@@ -0,0 +1,253 @@
+"""The platform's HTTP calls and headers, both ways."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs
+
+from greengagemoor.errors import InvalidInputError
+from greengagemoor.feed.messages import SearcherRow, SearcherState
+from greengagemoor.forward.messages import (
+    NOT_RUN,
+    Ending,
+    Outcome,
+    Respond,
+    SearcherAnswer,
+    SearcherLoad,
+)
+from greengagemoor.platform.documents import read_document
+from greengagemoor.serving import dialect as d
+from greengagemoor.serving.dialect import Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from greengagemoor.aio.client import HttpAnswer
+    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.feed.messages import Subscribe
+    from greengagemoor.routing.routes import RouteTable
+
+REQUEST_ID = b"request-id"
+DEADLINE = b"deadline-ms"
+EXPECT_INSTANCE = b"expect-instance"
+SIGNATURE = b"server-stamp"
+NOT_EXECUTED = b"not-executed"
+LOAD = b"server-load"
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run."""
+SECONDS_VALID = 2
+MOST_ADDRESSES = 64
+INSTANCE_CALL = re.compile(r"/v1/instances/([^/]+)/(heartbeat|leave)")
+JSON_TYPE = ((b"Content-Type", b"application/json"),)
+OWN_STATUS = {
+    Ending.SEARCHER_FAILED: 502,
+    Ending.BROKEN: 502,
+    Ending.BELOW_COVERAGE: 504,
+    Ending.NO_ANSWER: 504,
+}
+
+
+class PlatformDialect:
+    """Implements ``serving.dialect.Dialect`` for the platform."""
+
+    def read_document(self, text: bytes) -> RouteTable:
+        """Decodes a document; see ``documents.read_document``."""
+        return read_document(text)
+
+    def read_request(self, req: HttpRequest) -> d.CallerWords:
+        """Reads host, id and deadline of a caller's request."""
+        host = (req.header(b"host") or "").partition(":")[0].lower()
+        text = req.header(DEADLINE)
+        patience = float(text) / 1000 if text and text.isdigit() else None
+        return d.CallerWords(
+            host, req.header(REQUEST_ID) or "", patience_s=patience
+        )
+
+    def write_attempt(
+        self, req: HttpRequest, searcher_id: str, left_s: float
+    ) -> bytes:
+        """Hands a request on; the deadline is what is left of it."""
+        named = (req.header(b"connection") or "").lower().split(",")
+        dropped = {name.strip().encode() for name in named} | HOP_BY_HOP
+        dropped |= {DEADLINE, EXPECT_INSTANCE}
+        lines = [f"{req.method} {req.target} HTTP/1.1".encode("latin-1")]
+        lines += [
+            b"%s: %s" % (name, value)
+            for name, value in req.headers
+            if name.lower() not in dropped
+        ]
+        lines.append(b"Deadline-Ms: %d" % max(1, int(1000 * left_s)))
+        lines.append(b"Expect-Instance: " + searcher_id.encode())
+        if req.body or req.method in ("POST", "PUT", "PATCH"):
+            lines.append(b"Content-Length: %d" % len(req.body))
+        return b"\r\n".join([*lines, b"", req.body])
+
+    def read_answer(self, answer: HttpAnswer, request_id: str) -> d.SearcherWords:
+        """Reads a searcher's answer, and whose it is."""
+        headers = {name.lower(): value for name, value in answer.headers}
+        echoed = headers.get(REQUEST_ID)
+        if echoed is not None and echoed.decode("latin-1") != request_id:
+            return d.SearcherWords(
+                Outcome.BROKEN, None, "the answer to another request"
+            )
+        found = SearcherAnswer(
+            status=answer.status,
+            signature=headers.get(SIGNATURE, b"").decode("latin-1"),
+            headers=_kept(answer.headers),
+            body=answer.body,
+            is_plain=headers.get(b"content-encoding", b"identity").lower()
+            == b"identity",
+            load=_load(headers.get(LOAD)),
+            closes=answer.closes,
+        )
+        if answer.status == 421:
+            return d.SearcherWords(Outcome.WRONG_SEARCHER, found, "421")
+        if NOT_EXECUTED in headers:
+            reason = f"not executed, {answer.status}"
+            return d.SearcherWords(Outcome.NOT_RUN, found, reason)
+        return d.SearcherWords(Outcome.ANSWERED, found)
+
+    def write_answer(self, msg: Respond) -> Reply:
+        """Returns the final answer to a caller."""
+        if msg.merged is not None:
+            return _write_merged(msg)
+        answer = msg.answer
+        if msg.ending is Ending.ANSWERED:
+            return Reply(answer.status, answer.headers, answer.body)
+        if (
+            msg.ending is Ending.SEARCHER_FAILED
+            and answer.status >= 300
+            and answer.status not in PROMISES
+        ):
+            return Reply(answer.status, answer.headers, answer.body)
+        if msg.ending in NOT_RUN:
+            return Reply(503, _retry_after(msg.retry_after_s))
+        return Reply(OWN_STATUS[msg.ending])
+
+    def write_no_document(self) -> Reply:
+        """Not run: this entry knows no document yet."""
+        return Reply(503, _retry_after(0.3))
+
+    def write_no_route(self) -> Reply:
+        """No route allows the request."""
+        return Reply(404)
+
+    def write_ready(self, ready: bool) -> Reply:
+        """Readiness by status alone."""
+        return Reply(200 if ready else 503)
+
+    def read_call(self, req: HttpRequest) -> d.Call | None:
+        """Reads a call to a control instance."""
+        call = (req.method, req.path)
+        if call == ("POST", "/v1/config/replace"):
+            return d.PutCall(req.body)
+        if call == ("GET", "/v1/config/get"):
+            return d.ReadCall()
+        if call == ("GET", "/v1/resolve"):
+            return d.FindEntriesCall(parse_qs(req.query).get("zone", [""])[0])
+        match = INSTANCE_CALL.fullmatch(req.path)
+        if match is None or req.method != "POST":
+            return None
+        if match[2] == "leave":
+            return d.LeaveCall(match[1])
+        return d.AnnounceCall(_read_row(match[1], req.body))
+
+    def write_announced(self, again_at: str) -> Reply:
+        """Acknowledges, and names where later announcements go."""
+        return _json(200, {"heartbeat-addr": again_at})
+
+    def write_put(self, accepted: bool, faults: str = "") -> Reply:
+        """Acknowledged, invalid, or to be sent again."""
+        if faults:
+            return _json(400, {"error": faults})
+        return _json(200, {}) if accepted else Reply(503, _retry_after(0.1))
+
+    def write_document(self, text: bytes | None) -> Reply:
+        """The document as it was put."""
+        if text is None:
+            return Reply(503, _retry_after(0.1))
+        return Reply(200, JSON_TYPE, text)
+
+    def write_entries(self, entries: list[Subscribe]) -> Reply:
+        """Addresses of entries, and how long they may be kept."""
+        if not entries:
+            return Reply(503, _retry_after(0.2))
+        addresses = [entry.address for entry in entries[:MOST_ADDRESSES]]
+        return _json(200, {"addrs": addresses, "ttl_s": SECONDS_VALID})
+
+    def write_unknown_call(self) -> Reply:
+        """Nothing of ours has that name, or its body is malformed."""
+        return Reply(400)
+
+
+def _json(status: int, value: Any) -> Reply:
+    return Reply(status, JSON_TYPE, json.dumps(value).encode())
+
+
+def _retry_after(seconds: float | None) -> tuple[tuple[bytes, bytes], ...]:
+    return ((b"Retry-After", f"{seconds or 0.1:.2f}".encode()),)
+
+
+def _kept(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> tuple[tuple[bytes, bytes], ...]:
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in HOP_BY_HOP
+    )
+
+
+def _write_merged(msg: Respond) -> Reply:
+    merged = msg.merged
+    signatures = ", ".join(merged.signatures).encode("latin-1")
+    headers = [
+        (b"Request-Id", msg.request_id.encode("latin-1")),
+        (b"Part-Stamps", signatures),
+        (b"Missing-Parts", b"%d" % merged.missing),
+    ]
+    return Reply(200, tuple(headers), merged.body)
+
+
+def _load(value: bytes | None) -> SearcherLoad | None:
+    """Reads ``running,waiting,slots`` and perhaps how slow work is, in %."""
+    try:
+        numbers = [int(part) for part in value.split(b",")] if value else []
+    except ValueError:
+        return None
+    return SearcherLoad(*numbers[:4]) if len(numbers) >= 3 else None
+
+
+def _read_row(searcher_id: str, body: bytes) -> SearcherRow:
+    try:
+        data = json.loads(body)
+        return SearcherRow(
+            searcher_id=searcher_id,
+            # The platform's back end is our service.
+            service=data["backend"],
+            address=data["address"],
+            data_centre=data["zone"],
+            state=SearcherState(data["state"]),
+            sequence=int(data["seq-no"]),
+            slots=int(data.get("slots", 1)),
+            cold_left_s=float(data.get("cold-left-ms", 0)) / 1000,
+        )
+    except (ValueError, KeyError, TypeError) as exc:
+        raise InvalidInputError([f"announcement: {exc!r}"]) from exc
--- /dev/null
+++ b/greengagemoor/platform/documents.py
@@ -0,0 +1,102 @@
+"""The operators' document as the platform writes it."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from greengagemoor.errors import DocumentError
+from greengagemoor.routing.routes import (
+    CallerLimits,
+    Gather,
+    Grade,
+    Route,
+    RouteTable,
+    ServiceRules,
+    WeightedService,
+)
+
+GRADES = {"safe": Grade.REPEATABLE, "unsafe": Grade.ONCE_PER_ATTEMPT}
+
+
+def read_document(text: bytes) -> RouteTable:
+    """Decodes a document.
+
+    Raises:
+        DocumentError: it can't be read in full.
+    """
+    try:
+        return _table(json.loads(text))
+    except KeyError as exc:
+        raise DocumentError([f"{exc.args[0]} is missing"]) from exc
+    except (ValueError, TypeError, AttributeError, RecursionError) as exc:
+        raise DocumentError([f"not a document: {exc}"]) from exc
+
+
+def _table(data: dict[str, Any]) -> RouteTable:
+    version = data["version"]
+    if type(version) is not int or version <= 0:
+        raise ValueError("the version is not a positive whole number")
+    services = [
+        ServiceRules(_text(item["name"]), int(item["max-conns"]))
+        for item in data["services"]
+    ]
+    return RouteTable(
+        version=version,
+        routes=tuple(_route(item) for item in data["routes"]),
+        services={rules.name: rules for rules in services},
+        limits=_limits(data.get("limits") or {}),
+    )
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a text")
+    return value
+
+
+def _route(item: dict[str, Any]) -> Route:
+    return Route(
+        name=_text(item["name"]),
+        host=_text(item["hostname"]),
+        prefix=_text(item["path-prefix"]),
+        grade=GRADES[item["route-type"]],
+        time_limit_s=item["timeout-ms"] / 1000,
+        objective_s=item["target-latency-ms"] / 1000,
+        rank=int(item.get("priority", 0)),
+        attempts=int(item.get("max-attempts", 1)),
+        split=_split(item),
+        gather=_gather(item),
+    )
+
+
+def _split(item: dict[str, Any]) -> tuple[WeightedService, ...]:
+    if item.get("backend"):
+        return (WeightedService(_text(item["backend"])),)
+    return tuple(
+        WeightedService(
+            _text(part.get("backend") or part["name"]), float(part["weight"])
+        )
+        for part in item.get("traffic-split") or ()
+    )
+
+
+def _gather(item: dict[str, Any]) -> Gather | None:
+    services = item.get("gather")
+    if not services:
+        return None
+    return Gather(
+        tuple(_text(name) for name in services),
+        int(item["top-k"]),
+        float(item["min-coverage"]),
+    )
+
+
+def _limits(data: dict[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        header_bytes=int(data.get("max-header-bytes", default.header_bytes)),
+        body_bytes=int(data.get("max-body-bytes", default.body_bytes)),
+        header_timeout_s=data.get("header-timeout-ms", 3000) / 1000,
+        idle_timeout_s=data.get("idle-timeout-ms", 15000) / 1000,
+    )
--- /dev/null
+++ b/greengagemoor/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests go to which services, and by which rules."""
--- /dev/null
+++ b/greengagemoor/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Event-loop programs: an entry and a control instance."""
--- /dev/null
+++ b/greengagemoor/serving/control.py
@@ -0,0 +1,291 @@
+"""A control instance on the event loop: documents, announcements, directory."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import zlib
+from collections import deque
+from itertools import count
+from typing import TYPE_CHECKING
+
+from greengagemoor import log
+from greengagemoor.aio.links import Links
+from greengagemoor.aio.server import HttpServer, Limits
+from greengagemoor.codes import Code
+from greengagemoor.control import messages as control
+from greengagemoor.control.client import Ask, ControlClient, Done
+from greengagemoor.control.commands import PutDocument
+from greengagemoor.control.decider import ControlDecider
+from greengagemoor.control.state import Timing
+from greengagemoor.errors import DocumentError, InvalidInputError
+from greengagemoor.feed import messages as feed
+from greengagemoor.feed.hub import Hub
+from greengagemoor.feed.hub import Timing as HubTiming
+from greengagemoor.routing import routes
+from greengagemoor.serving import dialect as calls
+from greengagemoor.serving.durable import Durable
+from greengagemoor.serving.ticker import Ticker
+from greengagemoor.shell.clock import Clock
+
+if TYPE_CHECKING:
+    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.control.messages import Send
+    from greengagemoor.serving.dialect import Dialect, Reply
+    from greengagemoor.serving.settings import ServingSettings
+
+ASK_S = 0.9
+"""Operators turn to another instance after a second."""
+HEARTBEAT_S = 0.15
+ELECTION_S = 0.6
+"""Four heartbeats; a dead leader is replaced within two seconds."""
+
+
+class ControlApp:
+    """Wires the parts of one control instance."""
+
+    def __init__(self, cfg: ServingSettings, dialect: Dialect):
+        self.cfg = cfg
+        self.clock = Clock()
+        self._rng = random.Random(cfg.seed or hash(cfg.instance))
+        self._dialect = dialect
+        self._ticker = Ticker(self.clock, self._tick)
+        self._links = Links(cfg.instance, cfg.peer_address, self._ticker.put)
+        self._hub = Hub(HubTiming(announce=cfg.announce_s))
+        self._client = ControlClient([cfg.instance], self._rng)
+        self._durable = Durable(
+            cfg.data_folder, cfg.instance, self._ticker.put_threadsafe
+        )
+        self._decider: ControlDecider | None = None
+        self._tokens = count(1)
+        self._waiting: dict[int, HttpRequest] = {}
+        servers = {cfg.control_address, cfg.directory_address} - {""}
+        self._servers = [
+            HttpServer(address, self, Limits()) for address in sorted(servers)
+        ]
+
+    async def start(self) -> None:
+        """Listens, then recovers durable state."""
+        await self._links.start()
+        self._links.want(set(self.cfg.seeds))
+        for server in self._servers:
+            await server.start()
+        await self._recover()
+
+    async def _recover(self) -> None:
+        """Opens the data folder and starts the member that it belongs to."""
+        member_id, recovered = await self._durable.open()
+        peers = {_name(seed): seed for seed in self.cfg.seeds}
+        founds = self.cfg.new_group and self.cfg.instance in peers
+        peers.pop(self.cfg.instance, None)
+        self._decider = ControlDecider(
+            member_id,
+            self.cfg.peer_address,
+            peers,
+            random.Random(self._rng.getrandbits(64)),
+            Timing(heartbeat=HEARTBEAT_S, election=ELECTION_S, join=0.25),
+            new_group=founds,
+        )
+        self._ticker.put(recovered)
+
+    def reload(self, cfg: ServingSettings) -> None:
+        """Takes in changed settings: new seeds are dialled beside the old."""
+        self.cfg = cfg
+        self._links.want(set(cfg.seeds))
+
+    async def stop(self) -> None:
+        """Ends after what was handed to the disk is synced."""
+        for server in self._servers:
+            server.stop_accepting()
+            server.close_idle()
+        await self._durable.close()
+
+    # Calls from outside.
+
+    def take(self, req: HttpRequest) -> None:
+        """Takes an operator's, a searcher's or a caller's call."""
+        try:
+            call = self._dialect.read_call(req)
+        except InvalidInputError as exc:
+            log.event("bad_call", target=req.target, reason=exc)
+            call = None
+        if isinstance(call, calls.AnnounceCall):
+            self._ticker.put(feed.Announced(self._open(req), call.row))
+        elif isinstance(call, calls.LeaveCall):
+            self._ticker.put(feed.Leaving(self._open(req), call.searcher_id))
+        elif isinstance(call, calls.PutCall):
+            self._take_put(req, call)
+        elif isinstance(call, calls.ReadCall):
+            self._ask(req, control.OpKind.READ_NUMBERED)
+        elif isinstance(call, calls.FindEntriesCall):
+            entries = self._hub.ready_entries()
+            self._reply(req, self._dialect.write_entries(entries))
+        else:
+            self._reply(req, self._dialect.write_unknown_call())
+
+    def gone(self, req: HttpRequest) -> None:
+        """Forgets a caller that left; what it asked for goes on."""
+        self._waiting.pop(req.token, None)
+
+    def _open(self, req: HttpRequest) -> int:
+        req.token = next(self._tokens)
+        self._waiting[req.token] = req
+        return req.token
+
+    def _reply(self, req: HttpRequest, reply: Reply) -> None:
+        req.conn.reply(req, reply.status, reply.headers, reply.body)
+
+    def _take_put(self, req: HttpRequest, call: calls.PutCall) -> None:
+        try:
+            table = self._dialect.read_document(call.body)
+            routes.check(table)
+        except DocumentError as exc:
+            faults = "; ".join(exc.faults[:5])
+            log.event("document_refused", faults=faults)
+            self._reply(req, self._dialect.write_put(False, faults))
+            return
+        packed = zlib.compress(call.body, 6)
+        command = PutDocument(table.version, packed, 0.0)
+        self._ask(req, control.OpKind.PUT, command)
+
+    def _ask(
+        self,
+        req: HttpRequest,
+        kind: control.OpKind,
+        command: PutDocument | None = None,
+    ) -> None:
+        deadline = self.clock.now() + ASK_S
+        token = self._open(req)
+        self._ticker.put(Ask(token, kind, deadline, command))
+
+    # Ticks.
+
+    def _tick(self, now: float, msgs: list) -> float | None:
+        inbox = deque(msgs)
+        first = True
+        while inbox or first:
+            first = False
+            batch = list(inbox)
+            inbox.clear()
+            self._step(now, batch, inbox)
+        times = [self._hub.next_wake(), self._client.next_wake()]
+        if self._decider is not None:
+            times.append(self._decider.next_wake())
+        return min((at for at in times if at is not None), default=None)
+
+    def _step(self, now: float, batch: list, inbox: deque) -> None:
+        out = []
+        if self._decider is not None:
+            mine = [msg for msg in batch if _is_for_decider(msg)]
+            out += self._decider.step(now, mine)
+            self._follow_members()
+        out += self._hub.step(now, [m for m in batch if _is_for_hub(m)])
+        out += self._client.step(now, [m for m in batch if _is_for_client(m)])
+        for msg in batch:
+            if isinstance(msg, control.PersistFailed):
+                self._restart_member()
+        for msg in out:
+            self._act(msg, inbox)
+
+    def _act(self, msg: object, inbox: deque) -> None:
+        if isinstance(msg, control.Send):
+            self._send(msg, inbox)
+        elif isinstance(msg, control.Persist):
+            self._durable.write(msg)
+        elif isinstance(msg, control.NumberedAccepted):
+            log.event("document", version=msg.number)
+            inbox.append(msg)
+        elif isinstance(msg, feed.AnnouncementTaken):
+            reply = self._dialect.write_announced(self.cfg.control_address)
+            self._answer(msg.token, reply)
+        elif isinstance(msg, Done):
+            self._take_done(msg)
+
+    def _send(self, msg: Send, inbox: deque) -> None:
+        if msg.to == self.cfg.instance:
+            inbox.append(control.Received(msg.to, msg.payload))
+        else:
+            self._links.send(msg)
+
+    def _answer(self, token: int, reply: Reply) -> None:
+        req = self._waiting.pop(token, None)
+        if req is not None:
+            self._reply(req, reply)
+
+    def _take_done(self, msg: Done) -> None:
+        code = msg.reply.code
+        log.event(
+            "operation",
+            kind=msg.kind.value,
+            code=int(code),
+            version=msg.reply.version,
+        )
+        if msg.kind is control.OpKind.PUT:
+            reply = self._dialect.write_put(code == Code.ACCEPTED)
+        elif code == Code.CURRENT and msg.reply.packed:
+            text = zlib.decompress(msg.reply.packed)
+            reply = self._dialect.write_document(text)
+        else:
+            reply = self._dialect.write_document(None)
+        self._answer(msg.token, reply)
+
+    def _follow_members(self) -> None:
+        """Links to all members, and tells entries of them."""
+        state = self._decider.state
+        addresses = {m.address for m in state.members.values()}
+        self._links.want(addresses)
+        names = sorted({m.instance for m in state.members.values()})
+        self._client.targets = names or [_name(s) for s in self.cfg.seeds]
+        self._hub.set_peers(tuple(sorted(addresses)))
+
+    def _restart_member(self) -> None:
+        """Starts over from what is durable, once the disk works again.
+
+        After a failed write nobody knows what the disk holds. A member that
+        stayed silent for ever would be one loss fewer to bear.
+        """
+        log.event("member_restarts", level="ERROR")
+        self._decider = None
+        asyncio.get_running_loop().create_task(self._recover())
+
+
+def _name(address: str) -> str:
+    """Control instances are named by their IP: seeds tell no more."""
+    return address.partition(":")[0]
+
+
+def _is_for_decider(msg: object) -> bool:
+    if isinstance(msg, control.Received):
+        return isinstance(msg.payload, _CONTROL_PAYLOADS)
+    return isinstance(msg, (control.Persisted, control.Recovered))
+
+
+def _is_for_hub(msg: object) -> bool:
+    if isinstance(msg, control.Received):
+        return isinstance(msg.payload, _HUB_PAYLOADS)
+    return isinstance(msg, _HUB_MESSAGES)
+
+
+def _is_for_client(msg: object) -> bool:
+    if isinstance(msg, control.Received):
+        return isinstance(msg.payload, control.OpReply)
+    return isinstance(msg, Ask)
+
+
+_CONTROL_PAYLOADS = (
+    control.VoteRequest,
+    control.VoteReply,
+    control.AppendRequest,
+    control.AppendReply,
+    control.InstallSnapshot,
+    control.JoinRequest,
+    control.JoinReply,
+    control.OpRequest,
+)
+_HUB_PAYLOADS = (feed.Subscribe, feed.RowsTaken, feed.WantNumbered)
+_HUB_MESSAGES = (
+    feed.Announced,
+    feed.Leaving,
+    feed.LinkDown,
+    control.NumberedAccepted,
+)
--- /dev/null
+++ b/greengagemoor/serving/dialect.py
@@ -0,0 +1,136 @@
+"""What an event-loop process needs to speak with callers and searchers.
+
+An adapter implements these; it translates and decides nothing.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+if TYPE_CHECKING:
+    from greengagemoor.aio.client import HttpAnswer
+    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.feed.messages import SearcherRow, Subscribe
+    from greengagemoor.forward.messages import Outcome, Respond, SearcherAnswer
+    from greengagemoor.routing.routes import RouteTable
+
+
+@attrs.frozen
+class Reply:
+    """An HTTP answer of ours."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+
+
+@attrs.frozen
+class CallerWords:
+    """What a caller's request says of itself."""
+
+    host: str
+    request_id: str
+    patience_s: float | None
+
+
+@attrs.frozen
+class SearcherWords:
+    """What a searcher's answer says."""
+
+    outcome: Outcome
+    answer: SearcherAnswer | None
+    reason: str = ""
+
+
+@attrs.frozen
+class AnnounceCall:
+    """A searcher announces itself."""
+
+    row: SearcherRow
+
+
+@attrs.frozen
+class LeaveCall:
+    """A searcher ends."""
+
+    searcher_id: str
+
+
+@attrs.frozen
+class PutCall:
+    """An operator puts a document."""
+
+    body: bytes
+
+
+@attrs.frozen
+class ReadCall:
+    """An operator reads the document in force."""
+
+
+@attrs.frozen
+class FindEntriesCall:
+    """A caller asks where to connect."""
+
+    data_centre: str
+
+
+Call = AnnounceCall | LeaveCall | PutCall | ReadCall | FindEntriesCall
+
+
+class Dialect(Protocol):
+    """Names, formats and calls of one deployment's world."""
+
+    def read_document(self, text: bytes) -> RouteTable:
+        """Decodes a document.
+
+        Raises:
+            DocumentError: it can't be read in full.
+        """
+
+    def read_request(self, req: HttpRequest) -> CallerWords:
+        """Reads what a request says of itself."""
+
+    def write_attempt(
+        self, req: HttpRequest, searcher_id: str, left_s: float
+    ) -> bytes:
+        """Returns the bytes of a request to a searcher."""
+
+    def read_answer(self, answer: HttpAnswer, request_id: str) -> SearcherWords:
+        """Reads a searcher's answer."""
+
+    def write_answer(self, msg: Respond) -> Reply:
+        """Returns the final answer to a caller."""
+
+    def write_no_document(self) -> Reply:
+        """Answers a request that came before any document."""
+
+    def write_no_route(self) -> Reply:
+        """Answers a request that no route allows."""
+
+    def write_ready(self, ready: bool) -> Reply:
+        """Answers whether this process may be given to callers."""
+
+    def read_call(self, req: HttpRequest) -> Call | None:
+        """Reads a call to a control instance; None if there is none such.
+
+        Raises:
+            InvalidInputError: the call is malformed.
+        """
+
+    def write_announced(self, again_at: str) -> Reply:
+        """Acknowledges an announcement; later ones go to ``again_at``."""
+
+    def write_put(self, accepted: bool, faults: str = "") -> Reply:
+        """Answers a put: accepted, or refused for its faults, or unknown."""
+
+    def write_document(self, text: bytes | None) -> Reply:
+        """Answers a read; None if it isn't sure what is in force."""
+
+    def write_entries(self, entries: list[Subscribe]) -> Reply:
+        """Answers where to connect."""
+
+    def write_unknown_call(self) -> Reply:
+        """Answers a call that doesn't exist or is malformed."""
--- /dev/null
+++ b/greengagemoor/serving/durable.py
@@ -0,0 +1,89 @@
+"""The data folder of a control instance, opened again after each failure."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from greengagemoor import log
+from greengagemoor.errors import CorruptRecordError, FolderMismatchError
+from greengagemoor.shell.disk import DiskWriter
+from greengagemoor.storage.folder import DataFolder
+from greengagemoor.storage.store import Store
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagemoor.control.messages import Persist, Recovered
+
+OPEN_AGAIN_S = 0.5
+
+
+class Durable:
+    """Opens, writes and closes the durable state."""
+
+    def __init__(
+        self, path: str, owner: str, put: Callable[[object], None]
+    ):
+        """Prepares; ``open`` touches the disk.
+
+        Args:
+            path: the data folder.
+            owner: the instance that it belongs to.
+            put: takes ``Persisted`` and ``PersistFailed``, from any thread.
+        """
+        self._path = Path(path)
+        self._owner = owner
+        self._put = put
+        self._writer: DiskWriter | None = None
+
+    async def open(self) -> tuple[str, Recovered]:
+        """Opens the folder; tries until the disk takes writes.
+
+        Returns:
+            The member id that the folder stands for, and what it holds.
+        """
+        await self.close()
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                return await loop.run_in_executor(None, self._open)
+            except OSError as exc:
+                log.event("disk_unusable", level="ERROR", reason=exc)
+            except (CorruptRecordError, FolderMismatchError) as exc:
+                # Under its old identity the member could vote without what
+                # it has promised; from an empty folder it joins as another.
+                log.event("disk_damaged", level="ERROR", reason=exc)
+                await loop.run_in_executor(None, self._empty)
+            await asyncio.sleep(OPEN_AGAIN_S)
+
+    def _open(self) -> tuple[str, Recovered]:
+        folder = DataFolder(self._path, self._owner)
+        try:
+            store = Store(folder)
+            recovered = store.recover()
+        except Exception:
+            folder.close()
+            raise
+        self._writer = DiskWriter(store, self._put)
+        self._writer.start()
+        member_id = f"{self._owner}#{folder.format.identity}"
+        log.event("disk_open", member=member_id, entries=len(recovered.entries))
+        return member_id, recovered
+
+    def _empty(self) -> None:
+        for path in self._path.iterdir():
+            path.unlink()
+
+    def write(self, operation: Persist) -> None:
+        """Hands an operation to the disk's thread."""
+        if self._writer is not None:
+            self._writer.write(operation)
+
+    async def close(self) -> None:
+        """Ends once all that was handed over is synced."""
+        writer, self._writer = self._writer, None
+        if writer is not None:
+            loop = asyncio.get_running_loop()
+            await loop.run_in_executor(None, writer.stop)
--- /dev/null
+++ b/greengagemoor/serving/entry.py
@@ -0,0 +1,278 @@
+"""An entry on the event loop: takes callers' requests, asks searchers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import zlib
+from functools import partial
+from itertools import count
+from typing import TYPE_CHECKING
+
+from greengagemoor import log
+from greengagemoor.aio.client import HttpAnswer, HttpFailure, Pool, Sending
+from greengagemoor.aio.links import Links
+from greengagemoor.aio.server import HttpServer, Limits
+from greengagemoor.control.messages import Received, Send
+from greengagemoor.errors import DocumentError
+from greengagemoor.feed import messages as feed
+from greengagemoor.feed.view import View
+from greengagemoor.forward.decider import ForwardDecider
+from greengagemoor.forward.messages import (
+    Arrived,
+    AttemptEnded,
+    CallerGone,
+    CancelAttempt,
+    Outcome,
+    Respond,
+    StartAttempt,
+)
+from greengagemoor.forward.tables import Policy
+from greengagemoor.routing import routes
+from greengagemoor.serving.ticker import Ticker
+from greengagemoor.shell.clock import Clock
+
+if TYPE_CHECKING:
+    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.serving.dialect import Dialect, Reply
+    from greengagemoor.serving.settings import ServingSettings
+
+RATIO_SHARE = 0.85
+"""Share of the allowed ratio that is used: windows of the allowance slide over
+bursts, and a stall moves requests and their repeats into different ones."""
+SWEEP_S = 1.0
+KEEP_SERVING_SHARE = 0.6
+"""Share of the grace time in which a leaving entry still takes requests."""
+IDLE_LOOK_S = 0.02
+
+
+class EntryApp:
+    """Wires the parts of one entry."""
+
+    def __init__(self, cfg: ServingSettings, dialect: Dialect):
+        self.cfg = cfg
+        self.clock = Clock()
+        rng = random.Random(cfg.seed or hash(cfg.instance))
+        policy = Policy(retry_ratio=cfg.retry_ratio * RATIO_SHARE)
+        self._dialect = dialect
+        self._view = View(cfg.instance, cfg.caller_address, cfg.data_centre)
+        self._forward = ForwardDecider(cfg.data_centre, rng, policy)
+        self._table: routes.RouteTable | None = None
+        self._ticker = Ticker(self.clock, self._tick)
+        self._links = Links(cfg.instance, "", self._ticker.put)
+        self._pool = Pool()
+        self._limits = Limits()
+        self._callers = HttpServer(cfg.caller_address, self, self._limits)
+        self._health = HttpServer(
+            cfg.health_address, _Health(self, dialect), Limits()
+        )
+        self._tokens = count(1)
+        self._requests: dict[int, HttpRequest] = {}
+        self._request_ids: dict[int, str] = {}
+        self._sends: dict[int, Sending] = {}
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be given this entry."""
+        return self._view.me.ready
+
+    async def start(self) -> None:
+        """Listens, and asks the seeds for everything else."""
+        await self._links.start()
+        self._links.want(set(self.cfg.seeds))
+        await self._health.start()
+        await self._callers.start()
+        self._ticker.tick()
+        asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+
+    def reload(self, cfg: ServingSettings) -> None:
+        """Takes in changed settings: new seeds are dialled beside the old."""
+        self.cfg = cfg
+        self._links.want(set(cfg.seeds))
+
+    async def stop(self) -> None:
+        """Leaves without cutting a request.
+
+        Leaves the addresses at once, serves on while callers may still hold
+        them, then takes nothing new and finishes what runs.
+        """
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self._view.leave()
+        self._limits.closing = True
+        self._ticker.tick()
+        await asyncio.sleep(KEEP_SERVING_SHARE * self.cfg.grace_s)
+        self._callers.stop_accepting()
+        self._callers.close_idle()
+        last = started + 0.9 * self.cfg.grace_s
+        while not self._forward.is_idle and loop.time() < last:
+            await asyncio.sleep(IDLE_LOOK_S)
+        self._callers.close_idle()
+        await asyncio.sleep(IDLE_LOOK_S)
+
+    # Callers.
+
+    def take(self, req: HttpRequest) -> None:
+        """Takes a caller's request."""
+        if self._table is None:
+            self._reply(req, self._dialect.write_no_document())
+            return
+        words = self._dialect.read_request(req)
+        route = self._table.find(words.host, req.path)
+        if route is None:
+            log.event(
+                "no_route",
+                request_id=words.request_id,
+                host=words.host,
+                path=req.path,
+                document=self._table.version,
+            )
+            self._reply(req, self._dialect.write_no_route())
+            return
+        req.token = next(self._tokens)
+        self._requests[req.token] = req
+        self._request_ids[req.token] = words.request_id
+        self._ticker.put(
+            Arrived(req.token, words.request_id, route, words.patience_s)
+        )
+
+    def gone(self, req: HttpRequest) -> None:
+        """Lets go of a request whose caller left."""
+        if self._requests.pop(req.token, None) is not None:
+            self._ticker.put(CallerGone(req.token))
+
+    def _reply(self, req: HttpRequest, reply: Reply) -> None:
+        req.conn.reply(req, reply.status, reply.headers, reply.body)
+
+    # Ticks.
+
+    def _tick(self, now: float, msgs: list) -> float | None:
+        from_feed = (feed.LinkUp, feed.LinkDown, Received)
+        feed_msgs = [msg for msg in msgs if isinstance(msg, from_feed)]
+        forward_msgs = [msg for msg in msgs if not isinstance(msg, from_feed)]
+        if feed_msgs or now >= self._view.next_wake() or self._view.leaving:
+            for msg in self._view.step(now, feed_msgs):
+                self._act_on_view(msg, forward_msgs)
+            self._links.want(set(self._view.peers))
+            self._forward.set_entries(self._view.entries)
+        for msg in self._forward.step(now, forward_msgs):
+            self._act(msg)
+        wake = self._view.next_wake()
+        other = self._forward.next_wake()
+        return wake if other is None else min(wake, other)
+
+    def _act_on_view(self, msg: object, forward_msgs: list) -> None:
+        if isinstance(msg, Send):
+            self._links.send(msg)
+        elif isinstance(msg, feed.SearcherLearnt):
+            log.event(
+                "searcher",
+                id=msg.row.searcher_id,
+                service=msg.row.service,
+                address=msg.row.address,
+                state=msg.row.state.value,
+                sequence=msg.row.sequence,
+            )
+            forward_msgs.append(msg)
+        elif isinstance(msg, feed.DocumentLearnt):
+            self._take_document(msg)
+        elif isinstance(msg, feed.ReadyChanged):
+            log.event("ready", ready=msg.ready, document=self._view.number)
+
+    def _take_document(self, msg: feed.DocumentLearnt) -> None:
+        try:
+            table = self._dialect.read_document(zlib.decompress(msg.packed))
+        except DocumentError as exc:
+            # It was checked before it was accepted: another release did that.
+            log.event("document_unreadable", level="ERROR", reason=exc)
+            return
+        self._table = table
+        limits = table.limits
+        self._limits.header_bytes = limits.header_bytes
+        self._limits.body_bytes = limits.body_bytes
+        self._limits.header_timeout_s = limits.header_timeout_s
+        self._limits.idle_timeout_s = limits.idle_timeout_s
+        self._forward.set_routes(table)
+        log.event("document", version=table.version, routes=len(table.routes))
+
+    def _act(self, msg: object) -> None:
+        if isinstance(msg, StartAttempt):
+            self._start_attempt(msg)
+        elif isinstance(msg, CancelAttempt):
+            sending = self._sends.pop(msg.attempt_id, None)
+            if sending is not None:
+                sending.cancel()
+        elif isinstance(msg, Respond):
+            self._respond(msg)
+
+    def _start_attempt(self, msg: StartAttempt) -> None:
+        req = self._requests.get(msg.token)
+        if req is None:
+            self._ticker.put(AttemptEnded(msg.attempt_id, Outcome.NOT_SENT))
+            return
+        left = msg.deadline - self.clock.now()
+        data = self._dialect.write_attempt(req, msg.searcher_id, left)
+        done = partial(self._attempt_done, msg)
+        self._sends[msg.attempt_id] = self._pool.send(msg.address, data, done)
+
+    def _attempt_done(
+        self, msg: StartAttempt, end: HttpAnswer | HttpFailure
+    ) -> None:
+        self._sends.pop(msg.attempt_id, None)
+        if isinstance(end, HttpFailure):
+            outcome = Outcome.BROKEN if end.sent else Outcome.NOT_SENT
+            ended = AttemptEnded(
+                msg.attempt_id, outcome, stale=end.stale, reason=end.reason
+            )
+        else:
+            request_id = self._request_ids.get(msg.token, "")
+            words = self._dialect.read_answer(end, request_id)
+            ended = AttemptEnded(
+                msg.attempt_id, words.outcome, words.answer, reason=words.reason
+            )
+        if ended.outcome is not Outcome.ANSWERED:
+            log.event(
+                "attempt_failed",
+                request_id=self._request_ids.get(msg.token, ""),
+                searcher=msg.searcher_id,
+                address=msg.address,
+                outcome=ended.outcome.value,
+                stale=ended.stale,
+                reason=ended.reason,
+            )
+        self._ticker.put(ended)
+
+    def _respond(self, msg: Respond) -> None:
+        self._request_ids.pop(msg.token, None)
+        req = self._requests.pop(msg.token, None)
+        log.event(
+            "answer",
+            request_id=msg.request_id,
+            route=msg.route.name,
+            ending=msg.ending.value,
+            elapsed_ms=round(1000 * msg.elapsed_s),
+            sends=msg.sends,
+            detail=msg.detail,
+        )
+        if req is not None:
+            self._reply(req, self._dialect.write_answer(msg))
+
+    def _sweep(self) -> None:
+        self._pool.sweep()
+        asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+
+
+class _Health:
+    """Answers the platform's question whether this entry is ready."""
+
+    def __init__(self, app: EntryApp, dialect: Dialect):
+        self._app = app
+        self._dialect = dialect
+
+    def take(self, req: HttpRequest) -> None:
+        """Answers at once."""
+        reply = self._dialect.write_ready(self._app.ready)
+        req.conn.reply(req, reply.status, reply.headers, reply.body)
+
+    def gone(self, req: HttpRequest) -> None:
+        """Nothing runs for it."""
--- /dev/null
+++ b/greengagemoor/serving/settings.py
@@ -0,0 +1,49 @@
+"""Settings of one event-loop process, whatever file they came from."""
+
+from __future__ import annotations
+
+import attrs
+
+from greengagemoor.util.checks import in_range, is_address
+
+
+def _addresses(_, attribute, value):
+    for address in value:
+        is_address(_, attribute, address)
+
+
+@attrs.frozen
+class ServingSettings:
+    """What one process is told; times in seconds, addresses ip:port.
+
+    Attributes:
+        instance: this process's name, unique over all machines.
+        peer_address: where other processes of ours reach it.
+        seeds: peer addresses of some control instances.
+        new_group: whether the whole system starts for the first time.
+        caller_address: where callers send requests (entries).
+        health_address: where the platform asks whether it is ready (entries).
+        control_address: for operators and announcements (control).
+        directory_address: for callers that look for entries (control).
+        data_folder: where durable state lies (control).
+        announce_s: how often searchers announce themselves.
+        grace_s: time between SIGTERM and the end that the platform forces.
+        retry_ratio: second sends allowed for each request, over all entries.
+    """
+
+    instance: str
+    data_centre: str
+    peer_address: str = attrs.field(validator=is_address)
+    seeds: tuple[str, ...] = attrs.field(validator=_addresses)
+    new_group: bool = False
+    caller_address: str = ""
+    health_address: str = ""
+    control_address: str = ""
+    directory_address: str = ""
+    data_folder: str = ""
+    announce_s: float = attrs.field(
+        default=1.2, validator=in_range(0.01, 600.0)
+    )
+    grace_s: float = attrs.field(default=6.0, validator=in_range(0.1, 600.0))
+    retry_ratio: float = attrs.field(default=0.2, validator=in_range(0, 10.0))
+    seed: int = 0
--- a/greengagemoor/wire/codec.py
+++ b/greengagemoor/wire/codec.py
@@ -15,6 +15,7 @@
 from greengagemoor.control import commands
 from greengagemoor.control import messages as control
 from greengagemoor.errors import WireError
+from greengagemoor.feed import messages as feed
 from greengagemoor.membership import messages as membership
 from greengagemoor.membership import rows
 from greengagemoor.wire import peers_pb2 as pb
@@ -24,7 +25,7 @@
 
     from google.protobuf.message import Message
 
-_SOURCES = (backends, commands, control, membership, rows)
+_SOURCES = (backends, commands, control, membership, rows, feed)
 
 
 def _snake(name: str) -> str:
