--- a/greengagemoor/aio/client.py
+++ b/greengagemoor/aio/client.py
@@ -82,6 +82,7 @@
         self._body: list[bytes] = []
         self._size = 0
         self._complete = False
+        self._keep_alive = False
         self._parser = httptools.HttpResponseParser(self)
         self.transport.write(data)
 
@@ -125,6 +126,8 @@
         """Notes that the answer is whole."""
         if self._status >= 200:
             self._complete = True
+            # Asked later, the parser always answers no.
+            self._keep_alive = self._parser.should_keep_alive()
         else:
             self._headers.clear()
 
@@ -144,9 +147,11 @@
         done(answer)
 
     def _answer(self) -> HttpAnswer:
-        closes = not self._parser.should_keep_alive()
         return HttpAnswer(
-            self._status, tuple(self._headers), b"".join(self._body), closes
+            self._status,
+            tuple(self._headers),
+            b"".join(self._body),
+            closes=not self._keep_alive,
         )
 
     def eof_received(self) -> bool:
--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -74,6 +74,7 @@
         self._number = 0
         self._document = m.NumberedDocument(0, b"")
         self._peers: tuple[str, ...] = ()
+        self._peers_changed = False
         self._sweep_at = 0.0
         self._now = 0.0
         self._out: list = []
@@ -112,11 +113,9 @@
 
     def set_peers(self, addresses: tuple[str, ...]) -> None:
         """Sets the control instances that entries are told of."""
-        if addresses == self._peers:
-            return
-        self._peers = addresses
-        for name in self._entries:
-            self._out.append(Send(name, self._known_peers()))
+        if addresses != self._peers:
+            self._peers = addresses
+            self._peers_changed = True
 
     def _known_peers(self) -> m.KnownPeers:
         return m.KnownPeers(self._peers, len(self._entries_seen))
@@ -232,9 +231,7 @@
             Send(sender, m.DocumentNumber(self._document.number))
         )
         if is_new:
-            others = (name for name in self._entries if name != sender)
-            for name in others:
-                self._out.append(Send(name, self._known_peers()))
+            self._peers_changed = True
 
     def _take_document(self, msg: NumberedAccepted) -> None:
         if msg.number <= self._document.number:
@@ -269,6 +266,10 @@
         }
 
     def _push(self) -> None:
+        if self._peers_changed:
+            self._peers_changed = False
+            for name in self._entries:
+                self._out.append(Send(name, self._known_peers()))
         if not self._changed:
             return
         self._number += 1
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -134,6 +134,7 @@
 
     attempt_id: int
     token: int
+    request_id: str
     searcher_id: str
     address: str
     deadline: float
--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -46,6 +46,7 @@
         StartAttempt(
             attempt.attempt_id,
             request.token,
+            request.request_id,
             searcher.searcher_id,
             searcher.address,
             request.ends_at,
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -68,7 +68,6 @@
         )
         self._tokens = count(1)
         self._requests: dict[int, HttpRequest] = {}
-        self._request_ids: dict[int, str] = {}
         self._sends: dict[int, Sending] = {}
 
     @property
@@ -131,7 +130,6 @@
             return
         req.token = next(self._tokens)
         self._requests[req.token] = req
-        self._request_ids[req.token] = words.request_id
         self._ticker.put(
             Arrived(req.token, words.request_id, route, words.patience_s)
         )
@@ -225,15 +223,14 @@
                 msg.attempt_id, outcome, stale=end.stale, reason=end.reason
             )
         else:
-            request_id = self._request_ids.get(msg.token, "")
-            words = self._dialect.read_answer(end, request_id)
+            words = self._dialect.read_answer(end, msg.request_id)
             ended = AttemptEnded(
                 msg.attempt_id, words.outcome, words.answer, reason=words.reason
             )
         if ended.outcome is not Outcome.ANSWERED:
             log.event(
                 "attempt_failed",
-                request_id=self._request_ids.get(msg.token, ""),
+                request_id=msg.request_id,
                 searcher=msg.searcher_id,
                 address=msg.address,
                 outcome=ended.outcome.value,
@@ -243,7 +240,6 @@
         self._ticker.put(ended)
 
     def _respond(self, msg: Respond) -> None:
-        self._request_ids.pop(msg.token, None)
         req = self._requests.pop(msg.token, None)
         log.event(
             "answer",
