--- a/greengagemoor/aio/client.py
+++ b/greengagemoor/aio/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 import attrs
@@ -20,6 +21,7 @@
 IDLE_SHARE = 0.8
 """A connection is used again only this far into the searcher's own timeout."""
 MOST_BODY = 4_194_304
+Headers = Sequence[tuple[bytes, bytes]]
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -72,10 +74,21 @@
         sockets.tune(transport)
 
     def send(
-        self, data: bytes, done: Callable[[HttpAnswer | HttpFailure], None]
+        self,
+        data: bytes,
+        done: Callable[[HttpAnswer | HttpFailure], None],
+        is_mine: Callable[[Headers], bool],
     ) -> None:
-        """Sends a request; ``done`` is called once with its end."""
+        """Sends a request; ``done`` is called once with its end.
+
+        Args:
+            data: the whole request.
+            done: takes the end.
+            is_mine: tells by its headers whether an answer is to this
+                request; others are skipped.
+        """
         self._done = done
+        self._is_mine = is_mine
         self._got_bytes = False
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
@@ -88,7 +101,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; bytes that nobody asked for end the connection."""
-        if self._done is None or self._dead:
+        if self._done is None:
             self.kill()
             return
         self._got_bytes = True
@@ -100,18 +113,20 @@
         if self._complete:
             self._finish()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Takes one header."""
-        self._headers.append((name, value))
-
     def on_message_begin(self) -> None:
         """Notes a second answer behind a whole one, which is nobody's."""
         if self._complete:
             self._dead = True
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes one header."""
+        if not self._complete:
+            self._headers.append((name, value))
+
     def on_headers_complete(self) -> None:
         """Reads the status; 1xx answers are followed by the real one."""
-        self._status = self._parser.get_status_code()
+        if not self._complete:
+            self._status = self._parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
         """Takes a piece of the body."""
@@ -123,13 +138,23 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Notes that the answer is whole."""
-        if self._status >= 200:
+        """Notes that the answer is whole, or skips one that isn't ours.
+
+        A searcher may answer an earlier request once more. The copy comes
+        where our answer is due; taken for it, it would reach another caller.
+        """
+        if self._complete:
+            return
+        if self._status >= 200 and self._is_mine(self._headers):
             self._complete = True
             # Asked later, the parser always answers no.
             self._keep_alive = self._parser.should_keep_alive()
-        else:
-            self._headers.clear()
+            return
+        if self._status >= 200:
+            self._dead = True
+        self._headers.clear()
+        self._body.clear()
+        self._size = 0
 
     def _finish(self) -> None:
         done, self._done = self._done, None
@@ -221,6 +246,7 @@
         address: str,
         data: bytes,
         done: Callable[[HttpAnswer | HttpFailure], None],
+        is_mine: Callable[[Headers], bool],
     ) -> Sending:
         """Sends on an idle connection, or on a new one.
 
@@ -231,10 +257,10 @@
         conn = self._take_idle(address)
         if conn is not None:
             sending.conn = conn
-            conn.send(data, done)
+            conn.send(data, done, is_mine)
             return sending
         sending.task = self._loop.create_task(
-            self._connect_and_send(address, data, done, sending)
+            self._connect_and_send(address, data, done, is_mine, sending)
         )
         return sending
 
@@ -243,6 +269,7 @@
         address: str,
         data: bytes,
         done: Callable[[HttpAnswer | HttpFailure], None],
+        is_mine: Callable[[Headers], bool],
         sending: Sending,
     ) -> None:
         host, _, port = address.rpartition(":")
@@ -257,7 +284,7 @@
             done(HttpFailure(sent=False, stale=False, reason=reason))
             return
         sending.conn = conn
-        conn.send(data, done)
+        conn.send(data, done, is_mine)
 
     def _take_idle(self, address: str) -> ClientConnection | None:
         idle = self._idle.get(address)
--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from greengagemoor.aio.client import HttpAnswer
+    from greengagemoor.aio.client import Headers, HttpAnswer
     from greengagemoor.aio.server import HttpRequest
     from greengagemoor.feed.messages import Subscribe
     from greengagemoor.routing.routes import RouteTable
@@ -99,14 +99,14 @@
             lines.append(b"Content-Length: %d" % len(req.body))
         return b"\r\n".join([*lines, b"", req.body])
 
-    def read_answer(self, answer: HttpAnswer, request_id: str) -> d.SearcherWords:
-        """Reads a searcher's answer, and whose it is."""
+    def is_answer_to(self, request_id: str, headers: Headers) -> bool:
+        """Compares the id that the searcher echoes, if it does."""
+        echoed = (v for name, v in headers if name.lower() == REQUEST_ID)
+        return next(echoed, request_id.encode()) == request_id.encode()
+
+    def read_answer(self, answer: HttpAnswer) -> d.SearcherWords:
+        """Reads a searcher's answer."""
         headers = {name.lower(): value for name, value in answer.headers}
-        echoed = headers.get(REQUEST_ID)
-        if echoed is not None and echoed.decode("latin-1") != request_id:
-            return d.SearcherWords(
-                Outcome.BROKEN, None, "the answer to another request"
-            )
         found = SearcherAnswer(
             status=answer.status,
             signature=headers.get(SIGNATURE, b"").decode("latin-1"),
--- a/greengagemoor/serving/dialect.py
+++ b/greengagemoor/serving/dialect.py
@@ -10,7 +10,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from greengagemoor.aio.client import HttpAnswer
+    from greengagemoor.aio.client import Headers, HttpAnswer
     from greengagemoor.aio.server import HttpRequest
     from greengagemoor.feed.messages import SearcherRow, Subscribe
     from greengagemoor.forward.messages import Outcome, Respond, SearcherAnswer
@@ -98,7 +98,10 @@
     ) -> bytes:
         """Returns the bytes of a request to a searcher."""
 
-    def read_answer(self, answer: HttpAnswer, request_id: str) -> SearcherWords:
+    def is_answer_to(self, request_id: str, headers: Headers) -> bool:
+        """Tells by its headers whether an answer is to this request."""
+
+    def read_answer(self, answer: HttpAnswer) -> SearcherWords:
         """Reads a searcher's answer."""
 
     def write_answer(self, msg: Respond) -> Reply:
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -211,7 +211,10 @@
         left = msg.deadline - self.clock.now()
         data = self._dialect.write_attempt(req, msg.searcher_id, left)
         done = partial(self._attempt_done, msg)
-        self._sends[msg.attempt_id] = self._pool.send(msg.address, data, done)
+        is_mine = partial(self._dialect.is_answer_to, msg.request_id)
+        self._sends[msg.attempt_id] = self._pool.send(
+            msg.address, data, done, is_mine
+        )
 
     def _attempt_done(
         self, msg: StartAttempt, end: HttpAnswer | HttpFailure
@@ -223,7 +226,7 @@
                 msg.attempt_id, outcome, stale=end.stale, reason=end.reason
             )
         else:
-            words = self._dialect.read_answer(end, msg.request_id)
+            words = self._dialect.read_answer(end)
             ended = AttemptEnded(
                 msg.attempt_id, words.outcome, words.answer, reason=words.reason
             )
--- /dev/null
+++ b/tests/test_aio/test_client.py
@@ -0,0 +1,235 @@
+"""Connections to searchers, against scripted raw sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+from greengagemoor.aio.client import HttpAnswer, HttpFailure, Pool
+from tests.test_aio.helpers import ok, raw_server, read_head, reset, run
+
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def mine(request_id):
+    """Accepts answers that echo this id, as bytes of the header ``Id``."""
+    return lambda headers: (b"Id", request_id) in headers
+
+
+async def ask(pool, address, is_mine=lambda _: True, data=GET):
+    """Sends one request and returns its end."""
+    fut = asyncio.get_running_loop().create_future()
+    pool.send(address, data, fut.set_result, is_mine)
+    return await fut
+
+
+class TestWholeAnswers:
+    """Framing by length, by chunks, by the end of the connection."""
+
+    def test_length_and_reuse(self):
+        seen = []
+
+        async def script(reader, writer):
+            seen.append("connection")
+            for body in (b"one", b"two"):
+                await read_head(reader)
+                writer.write(ok(body))
+            await reader.read()
+
+        async def main():
+            async with raw_server(script) as address:
+                pool = Pool()
+                return [await ask(pool, address) for _ in range(2)]
+
+        assert [end.body for end in run(main())] == [b"one", b"two"]
+        assert seen == ["connection"]
+
+    def test_chunks(self):
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+            )
+            await reader.read()
+
+        async def main():
+            async with raw_server(script) as address:
+                return await ask(Pool(), address)
+
+        assert run(main()).body == b"abcde"
+
+    def test_until_close(self):
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+
+        async def main():
+            async with raw_server(script) as address:
+                return await ask(Pool(), address)
+
+        answer = run(main())
+        assert answer.body == b"all of it"
+        assert answer.closes
+
+
+class TestTruncated:
+    """Symptom: half a body was handed to a caller as a whole one."""
+
+    def test_short_of_its_length(self):
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+
+        async def main():
+            async with raw_server(script) as address:
+                return await ask(Pool(), address)
+
+        end = run(main())
+        assert isinstance(end, HttpFailure)
+        assert end.sent
+        assert not end.stale
+
+    def test_reset_without_length(self):
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset(writer)
+
+        async def main():
+            async with raw_server(script) as address:
+                return await ask(Pool(), address)
+
+        assert isinstance(run(main()), HttpFailure)
+
+    def test_not_an_answer(self):
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(b"\x00\x01 nonsense\r\n\r\n")
+            await reader.read()
+
+        async def main():
+            async with raw_server(script) as address:
+                return await ask(Pool(), address)
+
+        assert isinstance(run(main()), HttpFailure)
+
+
+class TestExtraAnswers:
+    """Bytes that belong to no request of ours."""
+
+    def test_late_extra_answer_before_ours(self):
+        """The answer to an earlier request came in front of ours.
+
+        Symptom: a caller got records under another request's signature.
+        Sequence: a searcher answers twice; the second copy arrives together
+        with the answer to the next request, in one piece.
+        Cause: headers of both were collected into one answer.
+        """
+
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(
+                ok(b"xx", b"Id: old", b"Stamp: old") + ok(b"right", b"Id: new")
+            )
+            await reader.read()
+
+        async def main():
+            async with raw_server(script) as address:
+                return await ask(Pool(), address, mine(b"new"))
+
+        answer = run(main())
+        assert isinstance(answer, HttpAnswer)
+        assert answer.body == b"right"
+        assert answer.headers[0] == (b"Id", b"new")
+        assert (b"Stamp", b"old") not in answer.headers
+
+    def test_extra_answer_behind_ours(self):
+        """The connection is not used again, so the copy reaches nobody."""
+        seen = []
+
+        async def script(reader, writer):
+            seen.append("connection")
+            await read_head(reader)
+            writer.write(ok(b"right", b"Id: new") + ok(b"again", b"Id: new"))
+            await reader.read()
+
+        async def main():
+            async with raw_server(script) as address:
+                pool = Pool()
+                ends = [await ask(pool, address, mine(b"new")) for _ in "ab"]
+                return [end.body for end in ends]
+
+        assert run(main()) == [b"right", b"right"]
+        assert seen == ["connection", "connection"]
+
+    def test_bytes_on_an_idle_connection(self):
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(ok(b"right"))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(ok(b"nobody asked"))
+            await reader.read()
+
+        async def main():
+            async with raw_server(script) as address:
+                pool = Pool()
+                await ask(pool, address)
+                await asyncio.sleep(0.15)
+                return (await ask(pool, address)).body, pool.opened
+
+        assert run(main()) == (b"right", 2)
+
+
+class TestConnections:
+    """What is told of connections that don't stand or don't last."""
+
+    def test_nobody_listens(self):
+        async def main():
+            return await ask(Pool(), "127.0.0.1:1")
+
+        end = run(main())
+        assert isinstance(end, HttpFailure)
+        assert not end.sent
+
+    def test_dropped_while_idle(self):
+        """A searcher forgets an idle connection without a word."""
+
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(ok(b"one"))
+            await read_head(reader)
+            reset(writer)
+
+        async def main():
+            async with raw_server(script) as address:
+                pool = Pool()
+                await ask(pool, address)
+                return await ask(pool, address)
+
+        end = run(main())
+        assert end.stale
+
+    def test_cancel_closes_the_connection(self):
+        """The searcher sees the end and drops the request."""
+        closed = asyncio.Event()
+
+        async def script(reader, writer):
+            await read_head(reader)
+            try:
+                assert await reader.read() == b""
+            finally:
+                closed.set()
+
+        async def main():
+            async with raw_server(script) as address:
+                ends = []
+                sending = Pool().send(address, GET, ends.append, lambda _: True)
+                await asyncio.sleep(0.05)
+                sending.cancel()
+                await closed.wait()
+                return ends
+
+        assert run(main()) == []
