--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -21,6 +21,8 @@
 
 MOST_SENDS = 5
 """Most sends of one leg, those included that never ran."""
+LEAST_HEDGE_S = 0.004
+"""A second send sooner than a network round trip can't tell a late answer."""
 LOOK_AGAIN_S = 0.01
 """Interval of looking for a place or a token; a tenth of a work time."""
 
@@ -98,7 +100,8 @@
 
 def _arm_hedge(tables: Tables, leg: Leg) -> None:
     times = tables.times_of(leg.request.route)
-    delay = times.quantile(tables.policy.hedge_quantile)
+    quantile = times.quantile(tables.policy.hedge_quantile)
+    delay = max(quantile, LEAST_HEDGE_S)
     at = tables.now + delay
     tables.set_timer(at, partial(_hedge, tables, leg, leg.sends))
 
--- /dev/null
+++ b/tests/test_feed/test_hub_and_view.py
@@ -0,0 +1,293 @@
+"""Announcements through the hub to entries' views."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from greengagemoor.codes import Code
+from greengagemoor.control.messages import (
+    NumberedAccepted,
+    OpReply,
+    OpRequest,
+    Received,
+    Send,
+)
+from greengagemoor.feed import messages as m
+from greengagemoor.feed.hub import HOLD_S, Hub, Timing
+from greengagemoor.feed.messages import SearcherState
+from greengagemoor.feed.view import View
+
+ANNOUNCE_S = 1.0
+ROW = m.SearcherRow(
+    "i1", "s", "10.0.0.1:80", "dc1", SearcherState.READY, 1, 2, 0.0
+)
+ENTRY = m.Subscribe("e1", "10.0.0.9:80", "dc1", ready=True)
+
+
+def row(**changes):
+    return attrs.evolve(ROW, **changes)
+
+
+class HubBench:
+    """Steps a hub under a fake clock."""
+
+    def __init__(self):
+        self.hub = Hub(Timing(ANNOUNCE_S))
+        self.now = 0.0
+
+    def step(self, *msgs, after=0.0):
+        self.now += after
+        return self.hub.step(self.now, msgs)
+
+    def subscribe(self, name="e1"):
+        msg = attrs.evolve(ENTRY, name=name)
+        return self.step(Received(name, msg))
+
+
+def rows_to(out, name="e1"):
+    """Returns the rows sent to an entry."""
+    return [
+        r
+        for msg in out
+        if isinstance(msg, Send)
+        and msg.to == name
+        and isinstance(msg.payload, m.SearcherRows)
+        for r in msg.payload.rows
+    ]
+
+
+def taken(out):
+    """Returns the tokens that may be acknowledged."""
+    return [msg.token for msg in out if isinstance(msg, m.AnnouncementTaken)]
+
+
+class TestPush:
+    """Changes reach subscribers; what is no change costs nothing."""
+
+    def test_all_rows_to_a_new_entry(self):
+        bench = HubBench()
+        bench.step(m.Announced(1, ROW))
+        assert rows_to(bench.subscribe()) == [ROW]
+
+    def test_renewal_is_not_pushed(self):
+        bench = HubBench()
+        bench.subscribe()
+        bench.step(m.Announced(1, ROW))
+        out = bench.step(m.Announced(2, row(sequence=2)), after=ANNOUNCE_S)
+        assert not rows_to(out)
+        assert 2 in taken(out)
+
+    def test_after_a_gap_the_new_sequence_is_pushed(self):
+        """Another control instance may have called the searcher lost."""
+        bench = HubBench()
+        bench.subscribe()
+        bench.step(m.Announced(1, ROW))
+        out = bench.step(m.Announced(2, row(sequence=9)), after=3.0)
+        assert rows_to(out) == [row(sequence=9)]
+
+    def test_silent_searcher_is_lost(self):
+        bench = HubBench()
+        bench.subscribe()
+        bench.step(m.Announced(1, ROW))
+        (lost,) = rows_to(bench.step(after=4 * ANNOUNCE_S))
+        assert lost.state is SearcherState.LOST
+
+
+class TestDrainAcknowledgement:
+    """A drain is acknowledged once the entries know of it."""
+
+    def drain(self, bench):
+        bench.subscribe()
+        bench.step(m.Announced(1, ROW))
+        bench.step(Received("e1", m.RowsTaken(1)))
+        return bench.step(
+            m.Announced(2, row(sequence=2, state=SearcherState.DRAINING))
+        )
+
+    def test_waits_for_the_entry(self):
+        bench = HubBench()
+        assert taken(self.drain(bench)) == []
+        assert taken(bench.step(Received("e1", m.RowsTaken(2)))) == [2]
+
+    def test_entry_without_a_link_is_not_waited_for(self):
+        bench = HubBench()
+        self.drain(bench)
+        assert taken(bench.step(m.LinkDown("e1"))) == [2]
+
+    def test_silent_entry_is_waited_for_a_moment(self):
+        bench = HubBench()
+        self.drain(bench)
+        assert taken(bench.step(after=HOLD_S + 0.01)) == [2]
+
+
+class TestReusedAddresses:
+    """A late word of an old start must not displace the new one.
+
+    Symptom: an entry sent to a start that had crashed. Sequence: an
+    announcement is held up by a cut, its sender crashes, a new start
+    announces itself at the same address, the cut heals. Cause: the last word
+    about an address was taken for the newest.
+    """
+
+    def test_late_word_changes_nothing(self):
+        bench = HubBench()
+        bench.subscribe()
+        bench.step(m.Announced(1, ROW))
+        out = bench.step(m.Announced(2, row(searcher_id="i2", service="t")))
+        assert [(r.searcher_id, r.state) for r in rows_to(out)] == [
+            ("i1", SearcherState.GONE),
+            ("i2", SearcherState.READY),
+        ]
+        out = bench.step(m.Announced(3, row(sequence=2)))
+        assert not rows_to(out)
+        assert taken(out) == [3]
+
+    def test_leaving_is_final(self):
+        bench = HubBench()
+        bench.subscribe()
+        bench.step(m.Announced(1, ROW))
+        (gone,) = rows_to(bench.step(m.Leaving(2, "i1")))
+        assert gone.state is SearcherState.GONE
+        assert not rows_to(bench.step(m.Announced(3, row(sequence=7))))
+
+
+class TestRestart:
+    """Rows that were kept over a restart."""
+
+    def test_kept_rows_are_there_at_once_and_fade(self):
+        first = HubBench()
+        first.step(m.Announced(1, ROW))
+        kept = first.hub.kept_rows()
+        bench = HubBench()
+        bench.hub.begin_with(kept.rows)
+        assert set(rows_to(bench.subscribe())) == {ROW}
+        (lost,) = rows_to(bench.step(after=3 * ANNOUNCE_S))
+        assert lost.state is SearcherState.LOST
+
+
+class TestDocuments:
+    """Entries are told a number and fetch the document once."""
+
+    def test_number_is_pushed_and_text_fetched(self):
+        bench = HubBench()
+        bench.subscribe()
+        out = bench.step(NumberedAccepted(7, b"packed"))
+        assert Send("e1", m.DocumentNumber(7)) in out
+        (answer,) = bench.step(Received("e1", m.WantNumbered(3)))
+        assert answer.payload == m.NumberedDocument(7, b"packed")
+        assert bench.step(Received("e1", m.WantNumbered(7))) == []
+
+    def test_lower_number_is_ignored(self):
+        bench = HubBench()
+        bench.subscribe()
+        bench.step(NumberedAccepted(7, b"packed"))
+        assert bench.step(NumberedAccepted(5, b"older")) == []
+
+
+class ViewBench:
+    """Steps an entry's view under a fake clock."""
+
+    def __init__(self):
+        self.view = View("e1", "10.0.0.9:80", "dc1")
+        self.now = 0.0
+
+    def step(self, *msgs, after=0.0):
+        self.now += after
+        return self.view.step(self.now, msgs)
+
+    def hear(self, payload, sender="c1", **more):
+        return self.step(Received(sender, payload), **more)
+
+    def confirm(self, number=1):
+        reply = OpReply(1, Code.CURRENT, version=number, packed=b"doc")
+        return self.hear(reply)
+
+
+class TestView:
+    """What an entry believes of several control instances' words."""
+
+    @pytest.mark.parametrize("order", [(0, 1), (1, 0)])
+    def test_higher_sequence_wins_in_any_order(self, order):
+        bench = ViewBench()
+        said = [
+            ("c1", row(state=SearcherState.LOST, sequence=4)),
+            ("c2", row(sequence=9)),
+        ]
+        for i in order:
+            sender, one = said[i]
+            bench.hear(m.SearcherRows(1, False, (one,)), sender)
+        out = bench.hear(m.SearcherRows(2, False, (row(sequence=5),)))
+        assert not [x for x in out if isinstance(x, m.SearcherLearnt)]
+
+    def test_gone_is_final(self):
+        bench = ViewBench()
+        gone = row(state=SearcherState.GONE, sequence=2)
+        bench.hear(m.SearcherRows(1, False, (gone,)))
+        out = bench.hear(m.SearcherRows(1, False, (row(sequence=8),)), "c2")
+        assert not [x for x in out if isinstance(x, m.SearcherLearnt)]
+
+    def test_fetches_elsewhere_when_a_source_is_silent(self):
+        bench = ViewBench()
+        out = bench.hear(m.DocumentNumber(3), "c1")
+        assert Send("c1", m.WantNumbered(0)) in out
+        bench.hear(m.DocumentNumber(3), "c2")
+        assert Send("c2", m.WantNumbered(0)) in bench.step(after=0.6)
+
+    def test_older_document_changes_nothing(self):
+        bench = ViewBench()
+        bench.hear(m.NumberedDocument(5, b"five"))
+        out = bench.hear(m.NumberedDocument(4, b"four"))
+        assert not [x for x in out if isinstance(x, m.DocumentLearnt)]
+        assert bench.view.number == 5
+
+
+class TestReady:
+    """Ready means: confirmed by a quorum, and the searchers known.
+
+    Symptom: a restarted entry answered 404 for a route that was in force.
+    Sequence: it restarts, and hears first a control instance that is cut off
+    from the others and has an old document.
+    """
+
+    def test_not_before_a_quorum_confirmed(self):
+        bench = ViewBench()
+        out = bench.step(m.LinkUp("c1"))
+        assert any(
+            isinstance(x, Send) and isinstance(x.payload, OpRequest)
+            for x in out
+        )
+        bench.hear(m.SearcherRows(1, True, (ROW,)))
+        bench.hear(m.NumberedDocument(1, b"doc"))
+        bench.step(after=5.0)
+        assert not bench.view.me.ready
+        bench.confirm()
+        assert bench.view.me.ready
+
+    def test_not_with_an_older_document_than_confirmed(self):
+        bench = ViewBench()
+        bench.step(m.LinkUp("c1"))
+        bench.hear(m.SearcherRows(1, True, (ROW,)))
+        bench.hear(m.NumberedDocument(1, b"doc"))
+        bench.hear(OpReply(1, Code.CURRENT, version=2, packed=b""))
+        assert not bench.view.is_confirmed
+
+    def test_waits_a_moment_for_silent_control_instances(self):
+        bench = ViewBench()
+        bench.step(m.LinkUp("c1"))
+        bench.hear(m.KnownPeers(("10.0.0.1:1", "10.0.0.2:1"), 1))
+        bench.hear(m.SearcherRows(1, True, (ROW,)))
+        bench.confirm()
+        assert not bench.view.me.ready
+        bench.step(after=2.0)
+        assert bench.view.me.ready
+
+    def test_leaving_is_said_at_once(self):
+        bench = ViewBench()
+        bench.step(m.LinkUp("c1"))
+        bench.hear(m.SearcherRows(1, True, (ROW,)))
+        bench.confirm()
+        bench.view.leave()
+        out = bench.step()
+        assert m.ReadyChanged(False) in out
+        assert Send("c1", bench.view.me) in out
--- /dev/null
+++ b/tests/test_forward/helpers.py
@@ -0,0 +1,118 @@
+"""A forward decider with a fake clock and short ways to speak to it."""
+
+from __future__ import annotations
+
+import random
+
+from greengagemoor.feed.messages import (
+    SearcherLearnt,
+    SearcherRow,
+    SearcherState,
+)
+from greengagemoor.forward import messages as m
+from greengagemoor.forward.decider import ForwardDecider
+from greengagemoor.forward.tables import Policy
+from greengagemoor.routing.routes import (
+    Gather,
+    Grade,
+    Route,
+    RouteTable,
+    ServiceRules,
+    WeightedService,
+)
+
+LIMITS = None
+
+
+def single(**changes):
+    """Returns a route to one service."""
+    values = {
+        "name": "one",
+        "host": "h",
+        "prefix": "/one/",
+        "grade": Grade.REPEATABLE,
+        "time_limit_s": 1.0,
+        "objective_s": 0.2,
+        "rank": 1,
+        "attempts": 2,
+        "split": (WeightedService("s0"),),
+    }
+    return Route(**{**values, **changes})
+
+
+def gather(shards=4, least=0.75, **changes):
+    """Returns a route over the services s0, s1 and so on."""
+    services = tuple(f"s{i}" for i in range(shards))
+    return single(
+        name="all", split=(), gather=Gather(services, 3, least), **changes
+    )
+
+
+class Bench:
+    """Steps a decider and collects what it says."""
+
+    def __init__(self, services=1, searchers=3, cap=40, **policy):
+        self.now = 100.0
+        self.decider = ForwardDecider("dc1", random.Random(1), Policy(**policy))
+        names = [f"s{i}" for i in range(services)]
+        rules = {name: ServiceRules(name, cap) for name in names}
+        self.decider.set_routes(RouteTable(1, (), rules, LIMITS))
+        self.said = []
+        self.tokens = 0
+        for name in names:
+            for i in range(searchers):
+                self.learn(f"{name}.{i}", name)
+
+    def learn(self, searcher_id, service, state=SearcherState.READY, seq=1):
+        row = SearcherRow(
+            searcher_id, service, f"{searcher_id}:1", "dc1", state, seq, 5, 0.0
+        )
+        return self.step(SearcherLearnt(row))
+
+    def step(self, *msgs, after=0.0):
+        """Lets time pass, then ticks; returns what came out."""
+        self.now += after
+        out = self.decider.step(self.now, msgs)
+        self.said += out
+        return out
+
+    def pass_time(self, seconds, tick=0.005):
+        """Ticks until that much time has passed."""
+        out = []
+        for _ in range(round(seconds / tick)):
+            out += self.step(after=tick)
+        return out
+
+    def arrive(self, route, patience=None):
+        self.tokens += 1
+        msg = m.Arrived(self.tokens, f"r{self.tokens}", route, patience)
+        return self.step(msg)
+
+    def answer(self, start, body=b"", status=200, signature=None, **more):
+        """A searcher answers a send."""
+        signed = start.searcher_id if signature is None else signature
+        answer = m.SearcherAnswer(status, signed, (), body, **more)
+        return self.step(
+            m.AttemptEnded(start.attempt_id, m.Outcome.ANSWERED, answer)
+        )
+
+    def end(self, start, outcome, **more):
+        return self.step(m.AttemptEnded(start.attempt_id, outcome, **more))
+
+
+def starts(out):
+    """Returns the sends among messages."""
+    return [msg for msg in out if isinstance(msg, m.StartAttempt)]
+
+
+def answers(out):
+    """Returns the final answers among messages."""
+    return [msg for msg in out if isinstance(msg, m.Respond)]
+
+
+def warm(bench, route, times=40, seconds=0.02):
+    """Teaches the decider what the route usually takes."""
+    for _ in range(times):
+        for start in starts(bench.arrive(route)):
+            bench.now += seconds / max(1, len(route.services))
+            bench.answer(start)
