--- /dev/null
+++ b/tests/test_aio/test_links.py
@@ -0,0 +1,100 @@
+"""Links between processes of ours, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+
+from greengagemoor.aio import links as links_module
+from greengagemoor.aio.links import Links
+from greengagemoor.control.messages import Received, Send
+from greengagemoor.feed.messages import DocumentNumber, LinkDown, LinkUp
+from tests.test_aio.helpers import run
+
+
+class Inbox:
+    """Collects messages, and waits for one."""
+
+    def __init__(self):
+        self.msgs = []
+        self.came = asyncio.Event()
+
+    def put(self, msg):
+        self.msgs.append(msg)
+        self.came.set()
+
+    async def get(self, kind):
+        while True:
+            for msg in self.msgs:
+                if isinstance(msg, kind):
+                    self.msgs.remove(msg)
+                    return msg
+            self.came.clear()
+            await self.came.wait()
+
+
+async def pair():
+    """Returns two linked ends and their inboxes; the second one dialled."""
+    one, two = Inbox(), Inbox()
+    server = Links("one", "127.0.0.1:0", one.put)
+    await server.start()
+    host, port = server._server.sockets[0].getsockname()
+    client = Links("two", "", two.put)
+    await client.start()
+    client.want({f"{host}:{port}"})
+    await one.get(LinkUp)
+    await two.get(LinkUp)
+    return server, one, client, two
+
+
+class TestLinks:
+    """Both sides send on one connection."""
+
+    def test_both_ways(self):
+        async def main():
+            server, one, client, two = await pair()
+            client.send(Send("one", DocumentNumber(1)))
+            server.send(Send("two", DocumentNumber(2)))
+            return await one.get(Received), await two.get(Received)
+
+        first, second = run(main())
+        assert (first.sender, first.payload.number) == ("two", 1)
+        assert (second.sender, second.payload.number) == ("one", 2)
+
+    def test_lost_link_is_told_and_dialled_again(self):
+        async def main():
+            server, one, _, two = await pair()
+            for link in list(server.open):
+                link.close()
+            await two.get(LinkDown)
+            await two.get(LinkUp)
+
+        run(main())
+
+    def test_silent_link_is_closed(self, monkeypatch):
+        """A cut drops no connection; without the bound it looks alive."""
+
+        async def main():
+            server, _, client, two = await pair()
+            for link in client.open:
+                link.heard_at -= links_module.SILENT_S + 1
+            client._look_after()
+            await two.get(LinkDown)
+
+        run(main())
+
+    def test_bad_frame_closes(self):
+        async def main():
+            server, one, client, two = await pair()
+            for link in client.open:
+                link._transport.write(b"\xff\xff\xff\xff nonsense")
+            await one.get(LinkDown)
+
+        run(main())
+
+    def test_without_a_link_a_message_is_lost_quietly(self):
+        async def main():
+            server, one, _, _ = await pair()
+            server.send(Send("nobody", DocumentNumber(1)))
+            await asyncio.sleep(0.01)
+
+        run(main())
--- /dev/null
+++ b/tests/test_aio/test_server.py
@@ -0,0 +1,217 @@
+"""Callers' connections, from raw sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from greengagemoor.aio.server import HttpServer, Limits
+from tests.test_aio.helpers import read_head, run
+
+
+class Recorder:
+    """Takes requests and answers them when told."""
+
+    def __init__(self, answer=True):
+        self.answer = answer
+        self.reqs = []
+        self.lost = []
+        self.came = asyncio.Event()
+
+    def take(self, req):
+        self.reqs.append(req)
+        self.came.set()
+        if self.answer:
+            req.conn.reply(req, 200, (), req.target.encode())
+
+    def gone(self, req):
+        self.lost.append(req)
+        self.came.set()
+
+
+@asynccontextmanager
+async def served(handler, **limits):
+    """Starts a server and connects to it."""
+    server = HttpServer("127.0.0.1:0", handler, Limits(**limits))
+    await server.start()
+    host, port = server._server.sockets[0].getsockname()
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        yield server, reader, writer
+    finally:
+        writer.close()
+        server.stop_accepting()
+
+
+async def talk(data, handler=None, **limits):
+    """Sends bytes, returns all that comes until the server closes."""
+    async with served(handler or Recorder(), **limits) as (_, reader, writer):
+        writer.write(data)
+        return await reader.read()
+
+
+class TestFraming:
+    """Requests are framed in one way, or refused."""
+
+    def test_body_in_chunks(self):
+        async def main():
+            handler = Recorder()
+            await talk(
+                b"POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                handler,
+            )
+            return handler.reqs[0].body
+
+        assert run(main()) == b"abc"
+
+    def test_two_framings_are_refused(self):
+        """A request smuggled inside another one.
+
+        Symptom: a searcher ran a request that no caller had sent. Cause: one
+        reader went by the length, the next by the chunks.
+        """
+
+        async def main():
+            handler = Recorder()
+            answer = await talk(
+                b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1"
+                b"\r\nHost: h\r\n\r\n",
+                handler,
+            )
+            return answer, handler.reqs
+
+        answer, reqs = run(main())
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert reqs == []
+
+    @pytest.mark.parametrize(
+        ("head", "status"),
+        [
+            (b"nonsense\r\n\r\n", b"400"),
+            (b"GET / HTTP/1.1\r\nX: " + b"a" * 600 + b"\r\n\r\n", b"431"),
+            (b"POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n", b"413"),
+        ],
+    )
+    def test_refusals(self, head, status):
+        answer = run(talk(head, header_bytes=500, body_bytes=50))
+        assert answer.startswith(b"HTTP/1.1 " + status)
+
+    def test_chunks_beyond_the_limit(self):
+        data = (
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"40\r\n" + b"a" * 64 + b"\r\n0\r\n\r\n"
+        )
+        answer = run(talk(data, body_bytes=50))
+        assert answer.startswith(b"HTTP/1.1 413")
+
+    def test_slow_header_is_refused(self):
+        answer = run(talk(b"GET / HT", header_timeout_s=0.1))
+        assert answer.startswith(b"HTTP/1.1 408")
+
+    def test_idle_connection_is_closed(self):
+        assert run(talk(b"", idle_timeout_s=0.1)) == b""
+
+    def test_expectation(self):
+        async def main():
+            async with served(Recorder()) as (_, reader, writer):
+                writer.write(
+                    b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                    b"Expect: 100-continue\r\n\r\n"
+                )
+                return await read_head(reader)
+
+        assert run(main()) == b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class TestOrder:
+    """Answers come in the order of the requests."""
+
+    def test_pipelined(self):
+        async def main():
+            return await talk(
+                b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                b"GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+            )
+
+        answer = run(main())
+        assert answer.index(b"/1") < answer.index(b"/2")
+
+    def test_second_waits_for_the_first(self):
+        async def main():
+            handler = Recorder(answer=False)
+            async with served(handler) as (_, reader, writer):
+                writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" * 2)
+                await handler.came.wait()
+                await asyncio.sleep(0.02)
+                before = len(handler.reqs)
+                first = handler.reqs[0]
+                first.conn.reply(first, 200)
+                await read_head(reader)
+                return before, len(handler.reqs)
+
+        assert run(main()) == (1, 2)
+
+    def test_late_answer_reaches_nobody(self):
+        """A second answer to one request would be the next one's."""
+
+        async def main():
+            handler = Recorder(answer=False)
+            async with served(handler) as (_, reader, writer):
+                writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" * 2)
+                await handler.came.wait()
+                first = handler.reqs[0]
+                first.conn.reply(first, 200, (), b"one")
+                first.conn.reply(first, 200, (), b"again")
+                second = handler.reqs[1]
+                second.conn.reply(second, 200, (), b"two", close=True)
+                return await reader.read()
+
+        answer = run(main())
+        assert b"again" not in answer
+        assert answer.endswith(b"two")
+
+
+class TestEnds:
+    """Callers that leave, and a server that leaves."""
+
+    def test_gone_caller_is_told(self):
+        async def main():
+            handler = Recorder(answer=False)
+            async with served(handler) as (_, _, writer):
+                writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+                await handler.came.wait()
+                handler.came.clear()
+                writer.close()
+                await handler.came.wait()
+                return handler.reqs == handler.lost
+
+        assert run(main())
+
+    def test_closing_server_ends_kept_connections_after_their_answer(self):
+        async def main():
+            handler = Recorder()
+            async with served(handler) as (server, reader, writer):
+                server.limits.closing = True
+                writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+                return await reader.read()
+
+        answer = run(main())
+        assert b"Connection: close" in answer
+        assert answer.endswith(b"/1")
+
+    def test_idle_connections_close_and_busy_ones_stay(self):
+        async def main():
+            handler = Recorder(answer=False)
+            async with served(handler) as (server, reader, writer):
+                writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+                await handler.came.wait()
+                server.close_idle()
+                req = handler.reqs[0]
+                req.conn.reply(req, 200, (), b"whole", close=True)
+                return await reader.read()
+
+        assert run(main()).endswith(b"whole")
