--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -25,6 +25,7 @@
 COLD = 1.6
 FAILING_WEIGHT = 6.0
 FAILING_SMOOTHING = 0.2
+REFUSED_AVOID_S = 0.02
 FIRST_AVOID_S = 0.25
 LONGEST_AVOID_S = 2.0
 TRUSTED_S = 1.5
@@ -68,7 +69,7 @@
 def _cost(tables: Tables, row: Searcher, median: float) -> float:
     """Returns the expected time of a send in medians of its route."""
     cost = _slowness(tables, row) * (1.0 + _queue(tables, row))
-    cost *= 1.0 + FAILING_WEIGHT * row.failing
+    cost *= 1.0 + FAILING_WEIGHT * _failing(tables, row)
     if tables.now < row.cold_until:
         cost *= COLD
     if row.data_centre != tables.data_centre:
@@ -83,6 +84,18 @@
     return 1.0 + (row.slowness.value - 1.0) * faded
 
 
+def _failing(tables: Tables, row: Searcher) -> float:
+    age = max(0.0, tables.now - row.judged_at)
+    return row.failing * math.exp(-age / RELAX_S)
+
+
+def _judge(tables: Tables, row: Searcher, *, failed: bool) -> None:
+    """Moves the smoothed share of failed sends."""
+    before = _failing(tables, row)
+    row.failing = before + FAILING_SMOOTHING * (failed - before)
+    row.judged_at = tables.now
+
+
 def _queue(tables: Tables, row: Searcher) -> float:
     """Returns how many work times a further request would wait there."""
     age = max(0.0, tables.now - row.load_at)
@@ -106,7 +119,7 @@
     row.slowness.note(ratio)
     row.answered_at = tables.now
     row.failures = 0
-    row.failing *= 1.0 - FAILING_SMOOTHING
+    _judge(tables, row, failed=False)
 
 
 def note_failure(tables: Tables, row: Searcher, *, unreachable: bool) -> None:
@@ -118,13 +131,25 @@
         unreachable: whether no connection stood, as after a crash; then the
             searcher is left alone at once, and asked again ever more rarely.
     """
-    row.failing += FAILING_SMOOTHING * (1.0 - row.failing)
+    _judge(tables, row, failed=True)
     row.failures += 1
     if unreachable or row.failures > 2:
         pause = FIRST_AVOID_S * 2 ** min(row.failures - 1, 6)
         row.avoid_until = tables.now + min(pause, LONGEST_AVOID_S)
 
 
+def note_refusal(tables: Tables, row: Searcher) -> None:
+    """Learns from a searcher that refused to run a send.
+
+    One that sheds a part of its requests, its health good and its load low,
+    costs a second send each time; without this it would be chosen as often as
+    the others, and the budget for second sends would be gone in a second.
+    """
+    row.others += 1
+    row.avoid_until = max(row.avoid_until, tables.now + REFUSED_AVOID_S)
+    _judge(tables, row, failed=True)
+
+
 def note_load(tables: Tables, row: Searcher, load: SearcherLoad) -> None:
     """Learns a searcher's own count; own sends are counted apart."""
     row.others = max(0.0, load.running + load.waiting - len(row.attempts))
--- a/greengagemoor/forward/completion.py
+++ b/greengagemoor/forward/completion.py
@@ -133,7 +133,7 @@
         answer=answer,
         merged=merged,
         retry_after_s=RETRY_AFTER_S.get(ending),
-        detail=_describe(request, ending),
+        detail=_describe(request),
     )
 
 
@@ -147,12 +147,16 @@
     )
 
 
-def _describe(request: Request, ending: Ending) -> str:
-    """Names the services without an answer and why, for the log."""
-    if ending is Ending.ANSWERED:
-        return ""
+def _describe(request: Request) -> str:
+    """Names, for the log, the services without an answer and the latest one."""
     missing = (leg for leg in request.legs if leg.answer is None)
-    return ",".join(f"{leg.service}:{_state(leg)}" for leg in missing)
+    words = [f"{leg.service}:{_state(leg)}" for leg in missing]
+    answered = [leg for leg in request.legs if leg.answer is not None]
+    if answered:
+        last = max(answered, key=lambda leg: leg.answered_at)
+        after = 1000 * (last.answered_at - request.arrived_at)
+        words.append(f"{last.service}:{last.answered_by}+{after:.0f}ms")
+    return ",".join(words)
 
 
 def _state(leg: Leg) -> str:
--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -17,6 +17,7 @@
 from greengagemoor.routing.routes import Grade
 
 if TYPE_CHECKING:
+    from greengagemoor.forward.messages import SearcherAnswer
     from greengagemoor.forward.tables import Leg, Searcher, Tables
 
 MOST_SENDS = 5
@@ -154,22 +155,26 @@
     ):
         leg.runs -= 1
     if msg.outcome is Outcome.ANSWERED:
-        _take_answer(leg, msg)
+        _take_answer(tables, attempt, msg.answer)
     elif msg.outcome is Outcome.BROKEN:
         leg.broken = True
     serve_waiting(tables, leg.service)
     return None if leg.request.done else leg
 
 
-def _take_answer(leg: Leg, msg: AttemptEnded) -> None:
-    answer = msg.answer
-    if is_good(answer):
-        leg.answer = leg.answer or answer
-    else:
+def _take_answer(
+    tables: Tables, attempt: Attempt, answer: SearcherAnswer
+) -> None:
+    leg = attempt.leg
+    if not is_good(answer):
         leg.failure = answer
+    elif leg.answer is None:
+        leg.answer = answer
+        leg.answered_by = attempt.searcher.searcher_id
+        leg.answered_at = tables.now
 
 
-def is_good(answer) -> bool:
+def is_good(answer: SearcherAnswer) -> bool:
     """Whether an answer is a success that its searcher signed."""
     return (
         200 <= answer.status < 300
@@ -189,8 +194,7 @@
         if not msg.stale:
             choosing.note_failure(tables, searcher, unreachable=False)
     elif msg.outcome is Outcome.NOT_RUN:
-        searcher.others += 1
-        searcher.avoid_until = max(searcher.avoid_until, tables.now + 0.02)
+        choosing.note_refusal(tables, searcher)
     elif not is_good(msg.answer):
         choosing.note_failure(tables, searcher, unreachable=False)
     else:
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -71,6 +71,7 @@
     work_factor: float = 1.0
     load_at: float = float("-inf")
     failing: float = 0.0
+    judged_at: float = float("-inf")
     failures: int = 0
     avoid_until: float = float("-inf")
 
@@ -103,6 +104,8 @@
     sends: int = 0
     first_sent_at: float = 0.0
     answer: SearcherAnswer | None = None
+    answered_by: str = ""
+    answered_at: float = 0.0
     failure: SearcherAnswer | None = None
     waiting: bool = False
     dead: bool = False
--- a/tests/test_forward/test_decider.py
+++ b/tests/test_forward/test_decider.py
@@ -320,3 +320,23 @@
             bench.now += 0.045 if slow else 0.015
             bench.answer(start)
         assert counts["s0.0"] < 20
+
+    def test_shedding_searcher_gets_little(self):
+        """One searcher refuses half of its sends although it has room.
+
+        Symptom: answers below the coverage floor although two sound searchers
+        stood beside it. Cause: a refusal taught nothing, so each one cost a
+        second send until the budget was gone.
+        """
+        bench = Bench(searchers=3)
+        counts = {f"s0.{i}": 0 for i in range(3)}
+        for _ in range(300):
+            (start,) = starts(bench.arrive(single(objective_s=0.12)))
+            counts[start.searcher_id] += 1
+            bench.now += 0.02
+            if start.searcher_id == "s0.0" and counts["s0.0"] % 2:
+                for again in starts(bench.end(start, Outcome.NOT_RUN)):
+                    bench.answer(again)
+            else:
+                bench.answer(start)
+        assert counts["s0.0"] < 20
