--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -43,42 +43,13 @@
         for row in rows
         if row.searcher_id not in leg.asked and is_usable(tables, row)
     ]
-    median = tables.times_of(leg.request.route).median
-    left = _time_left(tables, leg)
-    free = [
-        row
-        for row in fit
-        if len(row.attempts) < row.cap and _is_in_time(tables, row, median, left)
-    ]
+    free = [row for row in fit if len(row.attempts) < row.cap]
     if not free:
         return None
+    median = tables.times_of(leg.request.route).median
     return min(free, key=lambda row: _cost(tables, row, median))
 
 
-def _time_left(tables: Tables, leg: Leg) -> float:
-    """Returns for how long an answer of this leg is of use."""
-    request = leg.request
-    if tables.now < request.give_at:
-        return request.give_at - tables.now
-    return request.ends_at - tables.now
-
-
-def _is_in_time(
-    tables: Tables, row: Searcher, median: float, left: float
-) -> bool:
-    """Whether a send would probably be answered while that is of use.
-
-    Answers a shard with fewer searchers than its load needs: in its queue
-    every send is answered too late, so each query lacks the shard. Sends that
-    could only be late stay here; the queue stays short, and the queries whose
-    sends do go out get the shard in time.
-    """
-    if not row.attempts:
-        return True
-    expected = median * _slowness(tables, row) * (1.0 + _queue(tables, row))
-    return expected <= left
-
-
 def is_usable(tables: Tables, row: Searcher) -> bool:
     """Whether a searcher may be sent to now, places aside."""
     if row.state in (SearcherState.DRAINING, SearcherState.GONE):
