--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -21,7 +21,7 @@
 waiting for the answer to say so costs a pause for each further send."""
 NOISE = 0.15
 """Spread of costs, so that entries don't all choose the same searcher."""
-OTHER_DATA_CENTRE = 1.05
+OTHER_DATA_CENTRE = 1.7
 COLD = 1.6
 FAILING_WEIGHT = 6.0
 FAILING_SMOOTHING = 0.2
--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -52,7 +52,7 @@
 )
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request has not run."""
-SECONDS_VALID = 2
+SECONDS_VALID = 5
 MOST_ADDRESSES = 64
 INSTANCE_CALL = re.compile(r"/v1/instances/([^/]+)/(heartbeat|leave)")
 JSON_TYPE = ((b"Content-Type", b"application/json"),)
