Decisions in the log, metrics, explain and timeline

Cause: a failed request could be named but not explained: the log held its end only. Each decision on the way of a request that did not go as expected is logged with what decided it, within budgets; greengagemoorctl explain tells the story, timeline what each process believed. Latency histograms by route at the metrics address.

--- a/bench/entry_costs.py
+++ b/bench/entry_costs.py
@@ -17,9 +17,8 @@
 
 from greengagemoor import log
 from greengagemoor.aio.server import HttpServer, Limits
-from greengagemoor.control.messages import Received
 from greengagemoor.codes import Code
-from greengagemoor.control.messages import OpReply
+from greengagemoor.control.messages import OpReply, Received
 from greengagemoor.feed import messages as feed
 from greengagemoor.platform.dialect import PlatformDialect
 from greengagemoor.serving.entry import EntryApp
--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -103,9 +103,7 @@
 class Links:
     """All links of a process, by the name of the process at the other end."""
 
-    def __init__(
-        self, name: str, address: str, put: Callable[[object], None]
-    ):
+    def __init__(self, name: str, address: str, put: Callable[[object], None]):
         """Prepares; ``start`` listens.
 
         Args:
--- a/greengagemoor/cmd/ctl.py
+++ b/greengagemoor/cmd/ctl.py
@@ -14,6 +14,7 @@
 import typer
 import urllib3
 
+from greengagemoor.cmd import logs
 from greengagemoor.codes import Code
 from greengagemoor.config import Settings
 from greengagemoor.document import parse_document
@@ -24,7 +25,7 @@
 
 
 class Exit(IntEnum):
-    """Exit codes, as docs/OPERATING.md lists them."""
+    """Exit codes, as docs/OPERATIONS.md lists them."""
 
     OK = 0
     REFUSED = 1
@@ -54,6 +55,9 @@
     help="Applies documents to greengagemoor and shows what it does.",
 )
 
+app.command("explain")(logs.explain_command)
+app.command("timeline")(logs.timeline_command)
+
 At = Annotated[
     str,
     typer.Option(
--- /dev/null
+++ b/greengagemoor/cmd/logs.py
@@ -0,0 +1,53 @@
+"""Commands of ``greengagemoorctl`` that read log files."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from greengagemoor.logreading.explain import explain
+from greengagemoor.logreading.lines import LogLine, merge, read_lines
+from greengagemoor.logreading.timeline import disagreements, timeline
+
+Files = Annotated[
+    list[Path] | None,
+    typer.Argument(help="Log files; standard input if none is named."),
+]
+
+
+def explain_command(
+    request_id: Annotated[str, typer.Argument(help="Id of one attempt.")],
+    files: Files = None,
+) -> None:
+    """Tells the story of a request and the reason for its end."""
+    for line in explain(_read(files), request_id):
+        typer.echo(line)
+
+
+def timeline_command(
+    files: Files = None,
+    searchers: Annotated[
+        bool, typer.Option(help="Show changes of searchers too.")
+    ] = False,
+    after_s: Annotated[
+        float, typer.Option(help="Seconds for which a lag is usual.")
+    ] = 3.0,
+) -> None:
+    """Tells what each process believed, and where two disagreed."""
+    lines = _read(files)
+    for text in timeline(lines, searchers=searchers):
+        typer.echo(text)
+    for text in disagreements(lines, after_s):
+        typer.echo(f"disagreement: {text}")
+
+
+def _read(files: list[Path] | None) -> list[LogLine]:
+    if not files:
+        return merge([read_lines(sys.stdin)])
+    return merge(
+        read_lines(path.read_text(errors="replace").splitlines(), path.stem)
+        for path in files
+    )
--- a/greengagemoor/control/operations.py
+++ b/greengagemoor/control/operations.py
@@ -35,14 +35,19 @@
         _take_read(state, asker, req)
     elif req.kind is OpKind.REMOVE_MEMBER:
         _take_removal(state, asker, req)
-    elif req.kind is OpKind.APPLY and _answer_apply(state, asker, req):
-        return
-    elif req.kind is OpKind.PUT and _answer_put(state, asker, req):
-        return
-    else:
+    elif not _answer_at_once(state, asker, req):
         _propose(state, asker, req)
 
 
+def _answer_at_once(state: State, asker: str, req: OpRequest) -> bool:
+    """Answers what needs no log entry; tells whether it did."""
+    if req.kind is OpKind.APPLY:
+        return _answer_apply(state, asker, req)
+    if req.kind is OpKind.PUT:
+        return _answer_put(state, asker, req)
+    return False
+
+
 def _serves(state: State) -> bool:
     """Whether this leader has committed an entry of its own term.
 
--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING
 
 import attrs
@@ -118,6 +118,17 @@
         subscribes = (entry.subscribe for entry in self._entries.values())
         return [s for s in subscribes if s.ready]
 
+    def gauges(self) -> dict[str, float]:
+        """Returns numbers of the moment, for metrics."""
+        heard = self._searchers.values()
+        states = Counter(one.row.state.value for one in heard)
+        return {
+            "entries_linked": len(self._entries),
+            "entries_ready": len(self.ready_entries()),
+            "acknowledgements_held": len(self._waiting),
+            **{f"searchers_{name}": n for name, n in states.items()},
+        }
+
     def kept_rows(self) -> m.SearcherRows:
         """Returns what a restart of this instance should begin with."""
         rows = (heard.row for heard in self._searchers.values())
@@ -256,9 +267,7 @@
         rows = tuple(heard.row for heard in self._searchers.values())
         self._out.append(Send(sender, self._known_peers()))
         self._out.append(Send(sender, m.SearcherRows(self._number, True, rows)))
-        self._out.append(
-            Send(sender, m.DocumentNumber(self._document.number))
-        )
+        self._out.append(Send(sender, m.DocumentNumber(self._document.number)))
         if is_new:
             self._peers_changed = True
 
--- a/greengagemoor/forward/__init__.py
+++ b/greengagemoor/forward/__init__.py
@@ -1,4 +1,5 @@
 """Pure decisions on forwarded requests: placing, repeating, merging.
 
-No module here has a socket or a clock; ``decider.ForwardDecider`` is the way in.
+No module here has a socket or a clock; ``decider.ForwardDecider`` is the one
+that others call.
 """
--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -5,6 +5,8 @@
 import math
 from typing import TYPE_CHECKING
 
+import attrs
+
 from greengagemoor.feed.messages import SearcherState
 
 if TYPE_CHECKING:
@@ -32,7 +34,15 @@
 """A searcher that answered so lately is alive, whoever says it is lost."""
 
 
-def choose(tables: Tables, leg: Leg) -> Searcher | None:
+@attrs.frozen
+class Choice:
+    """A searcher, and the expected time in medians of the route."""
+
+    searcher: Searcher
+    cost: float
+
+
+def choose(tables: Tables, leg: Leg) -> Choice | None:
     """Returns the searcher with the lowest cost, None if none has a place.
 
     A searcher that was asked before for this leg is left out.
@@ -47,7 +57,8 @@
     if not free:
         return None
     median = tables.times_of(leg.request.route).median
-    return min(free, key=lambda row: _cost(tables, row, median))
+    choices = (Choice(row, _cost(tables, row, median)) for row in free)
+    return min(choices, key=lambda choice: choice.cost)
 
 
 def is_usable(tables: Tables, row: Searcher) -> bool:
--- a/greengagemoor/forward/completion.py
+++ b/greengagemoor/forward/completion.py
@@ -134,6 +134,7 @@
         merged=merged,
         retry_after_s=RETRY_AFTER_S.get(ending),
         detail=_describe(request),
+        steps=tuple(request.steps),
     )
 
 
@@ -172,14 +173,10 @@
     return "refused" if leg.sends else "none"
 
 
-def end_leg(
-    tables: Tables, leg: Leg, outcome: Outcome, *, stale: bool
-) -> None:
+def end_leg(tables: Tables, leg: Leg, outcome: Outcome, *, stale: bool) -> None:
     """Goes on after a send ended: again, or the leg is given up."""
     if leg.answer is None and not sending.repeat(
         tables, leg, outcome, stale=stale
     ):
         leg.dead = True
     look(tables, leg.request)
-
-
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -100,6 +101,20 @@
         places = max(tables.policy.places, tables.entries)
         return max(1, tables.caps.get(service, places) // places)
 
+    def gauges(self) -> dict[str, float]:
+        """Returns numbers of the moment, for metrics."""
+        tables = self.tables
+        states = Counter(row.state.value for row in tables.searchers.values())
+        waiting = sum(len(queue) for queue in tables.waiting.values())
+        tokens = [budget.tokens for budget in tables.budgets.values()]
+        return {
+            "requests_running": len(tables.requests),
+            "sends_running": len(tables.attempts),
+            "sends_waiting": waiting,
+            "least_budget_left": min(tokens, default=0.0),
+            **{f"searchers_{name}": n for name, n in states.items()},
+        }
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is under way."""
@@ -254,5 +269,3 @@
     def _remove(self, searcher: Searcher) -> None:
         del self.tables.searchers[searcher.searcher_id]
         self.tables.by_service[searcher.service].remove(searcher)
-
-
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -52,6 +52,39 @@
     BROKEN = "broken"
 
 
+class StepKind(enum.Enum):
+    """A decision on the way of a request."""
+
+    SENT = "sent"
+    SENT_BESIDE = "sent_beside"
+    WAITS = "waits"
+    ENDED = "ended"
+
+
+@attrs.frozen
+class Step:
+    """One decision, with what decided it.
+
+    Attributes:
+        after_s: seconds since the request arrived.
+        cost: expected time in medians of the route, lowest of all searchers.
+        own: sends of this entry under way at the searcher before it.
+        others: requests of others there, by its last word.
+        load_age_s: how old that word is.
+        note: the outcome of a send that ended.
+    """
+
+    kind: StepKind
+    after_s: float
+    service: str
+    searcher_id: str = ""
+    cost: float = 0.0
+    own: int = 0
+    others: float = 0.0
+    load_age_s: float = 0.0
+    note: str = ""
+
+
 # In.
 
 
@@ -169,6 +202,7 @@
         merged: the answer to a gather.
         retry_after_s: when to come back; None if that doesn't apply.
         sends: how often the request was sent.
+        steps: the decisions on its way.
     """
 
     token: int
@@ -181,3 +215,4 @@
     merged: Merged | None = None
     retry_after_s: float | None = None
     detail: str = ""
+    steps: tuple[Step, ...] = ()
--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -12,6 +12,8 @@
     CancelAttempt,
     Outcome,
     StartAttempt,
+    Step,
+    StepKind,
 )
 from greengagemoor.forward.tables import Attempt
 from greengagemoor.routing.routes import Grade
@@ -30,10 +32,12 @@
 
 def send(tables: Tables, leg: Leg, *, second: bool = False) -> bool:
     """Sends to the best searcher that has a place; False if none has."""
-    searcher = choosing.choose(tables, leg)
-    if searcher is None:
+    choice = choosing.choose(tables, leg)
+    if choice is None:
         return False
+    searcher = choice.searcher
     request = leg.request
+    request.steps.append(_sent_step(tables, leg, choice, second=second))
     attempt = Attempt(
         next(tables.ids), leg, searcher, tables.now, is_second=second
     )
@@ -60,6 +64,22 @@
     return True
 
 
+def _sent_step(
+    tables: Tables, leg: Leg, choice: choosing.Choice, *, second: bool
+) -> Step:
+    row = choice.searcher
+    return Step(
+        StepKind.SENT_BESIDE if second else StepKind.SENT,
+        tables.now - leg.request.arrived_at,
+        leg.service,
+        row.searcher_id,
+        cost=choice.cost,
+        own=len(row.attempts),
+        others=row.others,
+        load_age_s=tables.now - row.load_at,
+    )
+
+
 def wait_for_place(tables: Tables, leg: Leg) -> None:
     """Queues a leg until a searcher has a place, most urgent first.
 
@@ -69,6 +89,8 @@
     if leg.waiting:
         return
     leg.waiting = True
+    after = tables.now - leg.request.arrived_at
+    leg.request.steps.append(Step(StepKind.WAITS, after, leg.service))
     queue = tables.waiting.setdefault(leg.service, [])
     item = (leg.request.route.rank, next(tables.ids), leg)
     heapq.heappush(queue, item)
@@ -145,6 +167,7 @@
     leg, searcher = attempt.leg, attempt.searcher
     searcher.attempts.pop(msg.attempt_id, None)
     leg.attempts.remove(attempt)
+    _note_end(tables, attempt, _words(msg))
     if msg.answer is not None and msg.answer.load is not None:
         choosing.note_load(tables, searcher, msg.answer.load)
     _learn(tables, attempt, msg)
@@ -162,6 +185,28 @@
     return None if leg.request.done else leg
 
 
+def _words(msg: AttemptEnded) -> str:
+    if msg.outcome is Outcome.ANSWERED:
+        return str(msg.answer.status)
+    stale = " on an idle connection" if msg.stale else ""
+    return f"{msg.outcome.value}: {msg.reason}{stale}"
+
+
+def _note_end(tables: Tables, attempt: Attempt, note: str) -> None:
+    request = attempt.leg.request
+    if request.done:
+        return
+    request.steps.append(
+        Step(
+            StepKind.ENDED,
+            tables.now - request.arrived_at,
+            attempt.leg.service,
+            attempt.searcher.searcher_id,
+            note=note,
+        )
+    )
+
+
 def _take_answer(
     tables: Tables, attempt: Attempt, answer: SearcherAnswer
 ) -> None:
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from greengagemoor.forward.messages import SearcherAnswer
+    from greengagemoor.forward.messages import SearcherAnswer, Step
     from greengagemoor.routing.routes import Route
 
 
@@ -133,6 +133,7 @@
     give_at: float
     ends_at: float
     legs: list[Leg] = attrs.field(factory=list)
+    steps: list[Step] = attrs.field(factory=list)
     done: bool = False
 
     @property
--- a/greengagemoor/log.py
+++ b/greengagemoor/log.py
@@ -61,6 +61,11 @@
     return _plain
 
 
+def lines_lost() -> int:
+    """Returns how many lines a slow reader has cost so far."""
+    return _plain.dropped if _plain is not None else 0
+
+
 def event(name: str, level: str = "INFO", **fields: Any) -> None:
     """Logs one event."""
     if _plain is not None:
--- /dev/null
+++ b/greengagemoor/logreading/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the log lines of several processes as one story."""
--- /dev/null
+++ b/greengagemoor/logreading/explain.py
@@ -0,0 +1,104 @@
+"""The story of one request, and the reason for its end."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from greengagemoor.logreading.lines import LogLine
+
+AROUND_S = 5.0
+"""How far back the state of a searcher is looked for."""
+REASONS = {
+    "answered": "it was answered in full",
+    "partial": "the time for a whole answer was over, or a shard was given up",
+    "searcher_failed": "the searchers that were asked answered with a failure",
+    "below_coverage": "too few shards could still answer",
+    "no_answer": "its time was over before an answer came",
+    "broken": "a connection broke after the request had been sent",
+    "not_run_no_searcher": "no searcher could be asked",
+    "not_run_busy": "no searcher had a place for it in good time",
+    "not_run_refused": "each searcher that was asked refused to run it",
+    "not_run_deadline": "it had no time left when it came",
+}
+
+
+def explain(lines: list[LogLine], request_id: str) -> list[str]:
+    """Returns the story of a request, a line each.
+
+    Args:
+        lines: of all processes, in order.
+        request_id: the caller's id of one attempt.
+    """
+    own = [line for line in lines if line.get("request_id") == request_id]
+    if not own:
+        return [f"no line names request {request_id}"]
+    return [*_story(own), *_conclusion(lines, own)]
+
+
+def _story(own: list[LogLine]) -> Iterator[str]:
+    steps = [line for line in own if line.event == "step"]
+    for line in sorted(steps, key=lambda x: float(x.get("after_ms", "0"))):
+        yield f"{float(line.get('after_ms')):8.1f} ms  {_tell_step(line)}"
+    for line in own:
+        if line.event == "answer":
+            yield (
+                f"{float(line.get('elapsed_ms')):8.1f} ms  {line.source} "
+                f"answers: {line.get('ending')}, {line.get('sends')} sends, "
+                f"route {line.get('route')}, document {line.get('document')}"
+            )
+        elif line.event == "no_route":
+            yield (
+                f"{line.source} knows no route for {line.get('host')}"
+                f"{line.get('path')} in document {line.get('document')}"
+            )
+
+
+def _tell_step(line: LogLine) -> str:
+    kind = line.get("kind")
+    place = f"{line.get('service')} {line.get('searcher')}".strip()
+    if kind == "ended":
+        return f"{place} ended: {line.get('note')}"
+    if kind == "waits":
+        return f"{place} waits: no searcher has a place"
+    return (
+        f"{place} {kind.replace('_', ' ')} (cost {line.get('cost')}, "
+        f"{line.get('own')} own and {line.get('others')} others there, "
+        f"heard {line.get('load_age_ms')} ms ago)"
+    )
+
+
+def _conclusion(lines: list[LogLine], own: list[LogLine]) -> Iterator[str]:
+    answer = next((line for line in own if line.event == "answer"), None)
+    if answer is None:
+        yield "no answer is in the log: cancelled, or the process ended"
+        return
+    ending = answer.get("ending")
+    yield f"reason: {REASONS.get(ending, ending)}"
+    if answer.get("detail"):
+        yield f"  {answer.get('detail')}"
+    notes = Counter(
+        f"{line.get('service')}: {line.get('note')}"
+        for line in own
+        if line.event == "step"
+        and line.get("kind") == "ended"
+        and not line.get("note").startswith("2")
+    )
+    yield from (f"  {number} x {note}" for note, number in notes.items())
+    yield from _searcher_states(lines, own, answer)
+
+
+def _searcher_states(
+    lines: list[LogLine], own: list[LogLine], answer: LogLine
+) -> Iterator[str]:
+    """Names changes of the searchers involved, shortly before the end."""
+    asked = {line.get("searcher") for line in own} - {""}
+    for line in lines:
+        recent = answer.at - AROUND_S <= line.at <= answer.at
+        same = line.source == answer.source and line.event == "searcher"
+        if recent and same and line.get("id") in asked:
+            ago = answer.at - line.at
+            yield f"  {line.get('id')} {line.get('state')} {ago:.1f} s before"
--- a/greengagemoor/platform/boot.py
+++ b/greengagemoor/platform/boot.py
@@ -9,6 +9,8 @@
 from greengagemoor.serving.settings import ServingSettings
 
 BOOT_VARIABLE = "GREENGAGEMOOR_BOOT"
+METRICS_PORT = 9464
+"""As in the deploy file, which names it to the platform."""
 DEFAULT_PATH = "/etc/greengagemoor/boot.conf"
 
 
@@ -54,6 +56,7 @@
         health_address=fields.get("listen-addrs.ready", ""),
         control_address=fields.get("listen-addrs.control", ""),
         directory_address=fields.get("listen-addrs.directory", ""),
+        metrics_address=f"{ip}:{METRICS_PORT}",
         data_folder=fields.get("data-dir", ""),
         announce_s=float(fields.get("heartbeat-ms", "1200")) / 1000,
         grace_s=float(fields.get("bounds.grace-s", "6")),
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -25,6 +25,7 @@
 from greengagemoor.routing import routes
 from greengagemoor.serving import dialect as calls
 from greengagemoor.serving.durable import Durable
+from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.ticker import Ticker
 from greengagemoor.shell.clock import Clock
 
@@ -59,12 +60,19 @@
             cfg.data_folder, cfg.instance, self._ticker.put_threadsafe
         )
         self._decider: ControlDecider | None = None
+        self._told: tuple[str, int, str] = ("", 0, "")
+        self._told_number = 0
         self._tokens = count(1)
         self._waiting: dict[int, HttpRequest] = {}
+        self._metrics = ServingMetrics(self._gauges)
         servers = {cfg.control_address, cfg.directory_address} - {""}
         self._servers = [
             HttpServer(address, self, Limits()) for address in sorted(servers)
         ]
+        if cfg.metrics_address:
+            self._servers.append(
+                HttpServer(cfg.metrics_address, self._metrics, Limits())
+            )
 
     async def start(self) -> None:
         """Listens, then recovers durable state."""
@@ -192,6 +200,7 @@
             mine = [msg for msg in batch if _is_for_decider(msg)]
             out += self._decider.step(now, mine)
             self._follow_members()
+            self._tell_beliefs()
         out += self._hub.step(now, [m for m in batch if _is_for_hub(m)])
         out += self._client.step(now, [m for m in batch if _is_for_client(m)])
         for msg in batch:
@@ -206,7 +215,6 @@
         elif isinstance(msg, control.Persist):
             self._durable.write(msg)
         elif isinstance(msg, control.NumberedAccepted):
-            log.event("document", version=msg.number)
             inbox.append(msg)
         elif isinstance(msg, feed.AnnouncementTaken):
             reply = self._dialect.write_announced(self.cfg.control_address)
@@ -251,6 +259,29 @@
         self._client.targets = names or [_name(s) for s in self.cfg.seeds]
         self._hub.set_peers(tuple(sorted(addresses)))
 
+    def _tell_beliefs(self) -> None:
+        state = self._decider.state
+        told = (state.role.value, state.term, state.leader_instance)
+        if told != self._told:
+            self._told = told
+            log.event("role", role=told[0], term=told[1], leader=told[2])
+        number = state.machine.numbered.number
+        if number != self._told_number:
+            self._told_number = number
+            log.event("document", version=number)
+
+    def _gauges(self) -> dict[str, float]:
+        return {
+            **self._hub.gauges(),
+            "leads": float(self._told[0] == "leader"),
+            "term": self._told[1],
+            "document_version": self._told_number,
+            "links": len(self._links.open),
+            "link_bytes_sent_total": self._links.sent_bytes,
+            "tick_failures_total": self._ticker.failures,
+            "log_lines_lost_total": log.lines_lost(),
+        }
+
     def _restart_member(self) -> None:
         """Starts over from what is durable, once the disk works again.
 
--- a/greengagemoor/serving/durable.py
+++ b/greengagemoor/serving/durable.py
@@ -31,9 +31,7 @@
 class Durable:
     """Opens, writes and closes the durable state."""
 
-    def __init__(
-        self, path: str, owner: str, put: Callable[[object], None]
-    ):
+    def __init__(self, path: str, owner: str, put: Callable[[object], None]):
         """Prepares; ``open`` touches the disk.
 
         Args:
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -29,6 +29,8 @@
 )
 from greengagemoor.forward.tables import Policy
 from greengagemoor.routing import routes
+from greengagemoor.serving.metrics import ServingMetrics
+from greengagemoor.serving.requestlog import RequestLog
 from greengagemoor.serving.ticker import Ticker
 from greengagemoor.shell.clock import Clock
 
@@ -63,12 +65,18 @@
         self._pool = Pool()
         self._limits = Limits()
         self._callers = HttpServer(cfg.caller_address, self, self._limits)
-        self._health = HttpServer(
-            cfg.health_address, _Health(self, dialect), Limits()
-        )
         self._tokens = count(1)
         self._requests: dict[int, HttpRequest] = {}
         self._sends: dict[int, Sending] = {}
+        self._request_log = RequestLog()
+        self._metrics = ServingMetrics(self._gauges)
+        self._servers = [
+            HttpServer(cfg.health_address, _Health(self, dialect), Limits())
+        ]
+        if cfg.metrics_address:
+            self._servers.append(
+                HttpServer(cfg.metrics_address, self._metrics, Limits())
+            )
 
     @property
     def ready(self) -> bool:
@@ -79,7 +87,8 @@
         """Listens, and asks the seeds for everything else."""
         await self._links.start()
         self._links.want(set(self.cfg.seeds))
-        await self._health.start()
+        for server in self._servers:
+            await server.start()
         await self._callers.start()
         self._ticker.tick()
         asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
@@ -230,31 +239,28 @@
             ended = AttemptEnded(
                 msg.attempt_id, words.outcome, words.answer, reason=words.reason
             )
-        if ended.outcome is not Outcome.ANSWERED:
-            log.event(
-                "attempt_failed",
-                request_id=msg.request_id,
-                searcher=msg.searcher_id,
-                address=msg.address,
-                outcome=ended.outcome.value,
-                stale=ended.stale,
-                reason=ended.reason,
-            )
         self._ticker.put(ended)
 
     def _respond(self, msg: Respond) -> None:
         req = self._requests.pop(msg.token, None)
-        log.event(
-            "answer",
-            request_id=msg.request_id,
-            route=msg.route.name,
-            ending=msg.ending.value,
-            elapsed_ms=round(1000 * msg.elapsed_s),
-            sends=msg.sends,
-            detail=msg.detail,
-        )
         if req is not None:
             self._reply(req, self._dialect.write_answer(msg))
+        self._metrics.note(msg)
+        self._request_log.note(self.clock.now(), msg, self._view.number)
+
+    def _gauges(self) -> dict[str, float]:
+        return {
+            **self._forward.gauges(),
+            "document_version": self._view.number,
+            "ready": float(self.ready),
+            "entries_known": self._view.entries,
+            "links": len(self._links.open),
+            "link_bytes_sent_total": self._links.sent_bytes,
+            "searcher_connections_opened_total": self._pool.opened,
+            "caller_connections": len(self._callers.conns),
+            "tick_failures_total": self._ticker.failures,
+            "log_lines_lost_total": log.lines_lost(),
+        }
 
     def _sweep(self) -> None:
         self._pool.sweep()
--- /dev/null
+++ b/greengagemoor/serving/metrics.py
@@ -0,0 +1,91 @@
+"""Counters, gauges and latency histograms of one event-loop process."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+
+from greengagemoor.serving.dialect import Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.forward.messages import Respond
+
+MOST_SERIES = 24
+"""Routes with a histogram of their own, 20 KB each; documents may have
+hundreds, nearly all idle, and memory is dear."""
+OTHERS = "others"
+LONGEST_US = 60_000_000
+DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+MICROSECONDS = 1_000_000
+PREFIX = "greengagemoor_"
+
+
+class ServingMetrics:
+    """What a process counts; routes beyond the bound share one series."""
+
+    def __init__(self, gauges: Callable[[], dict[str, float]]):
+        """Starts at zero.
+
+        Args:
+            gauges: returns the numbers of the moment, by name.
+        """
+        self._gauges = gauges
+        self._latency: dict[str, HdrHistogram] = {}
+        self._endings: Counter[tuple[str, str]] = Counter()
+        self._totals: Counter[str] = Counter()
+
+    def note(self, msg: Respond) -> None:
+        """Counts a final answer."""
+        series = self._series(msg.route.name)
+        elapsed = max(1, min(int(msg.elapsed_s * MICROSECONDS), LONGEST_US))
+        self._latency[series].record_value(elapsed)
+        self._endings[(series, msg.ending.value)] += 1
+        services = len(msg.route.services) if msg.route.gather else 1
+        self._totals["sends_total"] += msg.sends
+        self._totals["repeated_sends_total"] += max(0, msg.sends - services)
+        if msg.merged is not None:
+            self._totals["missing_shards_total"] += msg.merged.missing
+
+    def _series(self, route: str) -> str:
+        if route in self._latency:
+            return route
+        name = route if len(self._latency) < MOST_SERIES else OTHERS
+        self._latency.setdefault(name, HdrHistogram(1, LONGEST_US, DIGITS))
+        return name
+
+    def text(self) -> str:
+        """Returns everything in the Prometheus text form."""
+        return "\n".join(self._lines()) + "\n"
+
+    def _lines(self) -> Iterator[str]:
+        for route, histogram in sorted(self._latency.items()):
+            label = f'route="{_escape(route)}"'
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile)
+                yield (
+                    f"{PREFIX}latency_us{{{label},"
+                    f'quantile="{quantile / 100:g}"}} {value}'
+                )
+        for (route, ending), number in sorted(self._endings.items()):
+            labels = f'route="{_escape(route)}",ending="{ending}"'
+            yield f"{PREFIX}answers_total{{{labels}}} {number}"
+        for name, value in sorted({**self._totals, **self._gauges()}.items()):
+            yield f"{PREFIX}{name} {value:g}"
+
+    def take(self, req: HttpRequest) -> None:
+        """Answers a request for the metrics."""
+        reply = Reply(200, ((b"Content-Type", b"text/plain"),))
+        req.conn.reply(req, reply.status, reply.headers, self.text().encode())
+
+    def gone(self, req: HttpRequest) -> None:
+        """Nothing runs for it."""
+
+
+def _escape(text: str) -> str:
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- /dev/null
+++ b/greengagemoor/serving/requestlog.py
@@ -0,0 +1,100 @@
+"""Which lines a request leaves in the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from greengagemoor import log
+from greengagemoor.forward.messages import Ending
+from greengagemoor.util.linebudget import LineBudget
+
+if TYPE_CHECKING:
+    from greengagemoor.forward.messages import Respond, Step
+
+EXPECTED_PER_S = 40.0
+"""Lines a second for requests that went as expected: the calm rate of an entry
+twice over; beyond it they are a sample."""
+OTHERS_PER_S = 400.0
+"""Lines a second for all others: ten requests with all their steps."""
+BURST_S = 2.0
+TOLD_EVERY_S = 1.0
+
+
+class RequestLog:
+    """Writes a line for an expected answer, all steps for any other.
+
+    A request that was answered whole, within its objective and without a
+    repeat leaves one line, within a budget. One that was late, partial,
+    refused, failed or repeated leaves each step as well, within another
+    budget, so that a burst of good ones can't push out the ones that an
+    operator looks for.
+    """
+
+    def __init__(self):
+        self._expected = LineBudget(EXPECTED_PER_S, EXPECTED_PER_S * BURST_S)
+        self._others = LineBudget(OTHERS_PER_S, OTHERS_PER_S * BURST_S)
+        self._told_at = 0.0
+
+    def note(self, now: float, msg: Respond, document: int) -> None:
+        """Logs the end of a request.
+
+        Args:
+            now: seconds.
+            msg: its final answer.
+            document: number of the document in force.
+        """
+        expected = _is_expected(msg)
+        budget = self._expected if expected else self._others
+        if not expected:
+            for step in msg.steps:
+                if budget.take(now):
+                    _log_step(msg, step)
+        if budget.take(now):
+            _log_answer(msg, document)
+        if now - self._told_at >= TOLD_EVERY_S:
+            self._told_at = now
+            self._tell_dropped()
+
+    def _tell_dropped(self) -> None:
+        dropped = self._expected.take_dropped() + self._others.take_dropped()
+        if dropped:
+            log.event("log_lines_dropped", number=dropped)
+
+
+def _is_expected(msg: Respond) -> bool:
+    services = len(msg.route.services) if msg.route.gather else 1
+    return (
+        msg.ending is Ending.ANSWERED
+        and msg.elapsed_s <= msg.route.objective_s
+        and msg.sends == services
+    )
+
+
+def _log_answer(msg: Respond, document: int) -> None:
+    log.event(
+        "answer",
+        request_id=msg.request_id,
+        route=msg.route.name,
+        document=document,
+        ending=msg.ending.value,
+        elapsed_ms=round(1000 * msg.elapsed_s, 1),
+        sends=msg.sends,
+        detail=msg.detail,
+    )
+
+
+def _log_step(msg: Respond, step: Step) -> None:
+    age = 1000 * step.load_age_s
+    log.event(
+        "step",
+        request_id=msg.request_id,
+        kind=step.kind.value,
+        after_ms=round(1000 * step.after_s, 1),
+        service=step.service,
+        searcher=step.searcher_id,
+        cost=round(step.cost, 2),
+        own=step.own,
+        others=round(step.others, 1),
+        load_age_ms=round(age) if age < 1e9 else -1,
+        note=step.note,
+    )
--- a/greengagemoor/serving/settings.py
+++ b/greengagemoor/serving/settings.py
@@ -25,6 +25,7 @@
         health_address: where the platform asks whether it is ready (entries).
         control_address: for operators and announcements (control).
         directory_address: for callers that look for entries (control).
+        metrics_address: where metrics are read; '' for none.
         data_folder: where durable state lies (control).
         announce_s: how often searchers announce themselves.
         grace_s: time between SIGTERM and the end that the platform forces.
@@ -40,6 +41,7 @@
     health_address: str = ""
     control_address: str = ""
     directory_address: str = ""
+    metrics_address: str = ""
     data_folder: str = ""
     announce_s: float = attrs.field(
         default=1.2, validator=in_range(0.01, 600.0)
--- a/greengagemoor/serving/ticker.py
+++ b/greengagemoor/serving/ticker.py
@@ -19,7 +19,9 @@
 class Ticker:
     """Collects messages of one turn of the loop and runs one tick for them."""
 
-    def __init__(self, clock: Clock, run: Callable[[float, list], float | None]):
+    def __init__(
+        self, clock: Clock, run: Callable[[float, list], float | None]
+    ):
         """Starts with nothing to do.
 
         Args:
--- a/greengagemoor/shell/backend_api.py
+++ b/greengagemoor/shell/backend_api.py
@@ -1,4 +1,4 @@
-"""JSON bodies between entries and backend servers (docs/OPERATING.md)."""
+"""JSON bodies between entries and backend servers (docs/OPERATIONS.md)."""
 
 from __future__ import annotations
 
--- a/greengagemoor/util/linewriter.py
+++ b/greengagemoor/util/linewriter.py
@@ -35,7 +35,8 @@
         if len(self._lines) >= MOST_WAITING:
             self.dropped += 1
             return
-        line = f"time={time.time():.3f} level={level} {text}\n"
+        at = time.time()
+        line = f"time={at:.3f} level={level} instance={self._instance} {text}\n"
         self._lines.append(line.encode())
 
     def flush(self) -> None:
--- a/greengagemoor/wire/codec.py
+++ b/greengagemoor/wire/codec.py
@@ -185,8 +185,7 @@
     choices = _choices("Envelope")
     try:
         payloads = [
-            _read_choice(envelope, choices)
-            for envelope in batch.envelopes
+            _read_choice(envelope, choices) for envelope in batch.envelopes
         ]
     except (ValueError, TypeError) as exc:
         raise WireError(str(exc)) from exc
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -60,7 +60,7 @@
         assert len(caught.value.faults) == 2
 
     def test_every_setting_is_documented(self):
-        page = (DOCS / "OPERATING.md").read_text()
+        page = (DOCS / "OPERATIONS.md").read_text()
         missing = [
             field.name
             for field in attrs.fields(Settings)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -25,7 +25,7 @@
         Settings,
     )
 }
-EXAMPLES = EXAMPLE.findall((DOCS / "OPERATING.md").read_text())
+EXAMPLES = EXAMPLE.findall((DOCS / "OPERATIONS.md").read_text())
 
 
 class TestExamples:
--- /dev/null
+++ b/tests/test_logfields.py
@@ -0,0 +1,52 @@
+"""Every event and field that is logged is declared and documented."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import greengagemoor
+from greengagemoor.logfields import EVENTS, FIELDS
+
+PACKAGE = Path(greengagemoor.__file__).parent
+EVENT_LOOP = ("aio", "feed", "forward", "platform", "serving")
+PAGE = (PACKAGE.parent / "docs" / "OPERATIONS.md").read_text()
+
+
+def calls():
+    """Yields (file, event, fields) of each call that logs."""
+    files = (p for name in EVENT_LOOP for p in (PACKAGE / name).glob("*.py"))
+    for path in files:
+        for node in ast.walk(ast.parse(path.read_text())):
+            if (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and node.func.attr == "event"
+                and getattr(node.func.value, "id", "") == "log"
+            ):
+                names = {word.arg for word in node.keywords}
+                yield path.name, node.args[0].value, names - {"level"}
+
+
+class TestTable:
+    """The table against the code, and the page against the table."""
+
+    def test_each_call_is_declared(self):
+        found = list(calls())
+        assert len(found) > 20
+        undeclared = [
+            (file, event, names - set(FIELDS))
+            for file, event, names in found
+            if event not in EVENTS or names - set(FIELDS)
+        ]
+        assert undeclared == []
+
+    def test_no_event_is_declared_in_vain(self):
+        text = "".join(p.read_text() for p in PACKAGE.rglob("*.py"))
+        missing = [e for e in EVENTS if text.count(f'"{e}"') < 2]
+        assert missing == ["log_lines_dropped"] or missing == []
+
+    def test_page_lists_all_with_their_meaning(self):
+        rows = {**EVENTS, **FIELDS}
+        missing = [n for n, word in rows.items() if f"| {word} |" not in PAGE]
+        assert missing == []
--- /dev/null
+++ b/tests/test_util/test_lines.py
@@ -0,0 +1,71 @@
+"""Log lines: bounded, and never waited for."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+
+from greengagemoor.util.linebudget import LineBudget
+from greengagemoor.util.linewriter import MOST_WAITING, LineWriter
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def drain(reader, lines):
+    """Flushes and reads until nothing more comes."""
+    seen = b""
+    while True:
+        lines.flush()
+        try:
+            seen += os.read(reader, 1 << 16)
+        except BlockingIOError:
+            return seen
+
+
+class TestBlockedReader:
+    """A reader that stops reading costs lines, not time.
+
+    Symptom: an entry answered nothing any more while its machine was idle.
+    Sequence: the log's reader hangs, the pipe fills, the next line blocks.
+    """
+
+    def test_writes_go_on_and_losses_are_told(self, pipe):
+        reader, descriptor = pipe
+        lines = LineWriter(descriptor, "e1")
+        number = 3 * MOST_WAITING
+        for _ in range(number):
+            lines.write("INFO", "event=x text=" + 100 * "y")
+            lines.flush()
+        assert lines.dropped > 0
+        seen = drain(reader, lines)
+        kept = seen.count(b"event=x")
+        assert kept + lines.dropped == number
+        assert f"number={lines.dropped}".encode() in seen
+
+    def test_line_stays_whole_over_partial_writes(self, pipe):
+        reader, descriptor = pipe
+        lines = LineWriter(descriptor, "e1")
+        for i in range(500):
+            lines.write("INFO", f"event=x number={i} " + 150 * "z")
+        seen = drain(reader, lines)
+        assert [x.count(b"event=") for x in seen.splitlines()] == [1] * 500
+
+
+class TestBudget:
+    """Lines a second, with a burst."""
+
+    def test_burst_then_rate(self):
+        budget = LineBudget(per_s=10.0, burst=5.0)
+        now = [budget.take(100.0) for _ in range(8)]
+        assert now == [True] * 5 + [False] * 3
+        assert budget.take(100.2)
+        assert budget.take_dropped() == 3
+        assert budget.take_dropped() == 0
