Entries tell each other of slow searchers, through control

Cause: at 78 entries each one meets a searcher every few seconds and found a slow one by itself: second sends went there, and a shard was late in most answers. Change: entries report sends of three medians; a control instance that hears of one searcher in five of seven slices of 0.2 s tells all to avoid it for 2 to 6 s.

--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -10,6 +10,7 @@
 from greengagemoor.control.messages import NumberedAccepted, Received, Send
 from greengagemoor.feed import messages as m
 from greengagemoor.feed.messages import SearcherState
+from greengagemoor.feed.slowness import SlowTable
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -77,6 +78,7 @@
         self._document = m.NumberedDocument(0, b"")
         self._peers: tuple[str, ...] = ()
         self._peers_changed = False
+        self._slow = SlowTable()
         self._sweep_at = 0.0
         self._now = 0.0
         self._out: list = []
@@ -246,6 +248,8 @@
     def _take_received(self, sender: str, payload: object) -> None:
         if isinstance(payload, m.Subscribe):
             self._take_subscribe(sender, payload)
+        elif isinstance(payload, m.SlowReport):
+            self._take_slow(payload)
         elif isinstance(payload, m.RowsTaken):
             entry = self._entries.get(sender)
             if entry is not None:
@@ -256,6 +260,15 @@
         ):
             self._out.append(Send(sender, self._document))
 
+    def _take_slow(self, msg: m.SlowReport) -> None:
+        for searcher_id in msg.searcher_ids:
+            avoid_s = self._slow.note(self._now, searcher_id)
+            if avoid_s is None:
+                continue
+            told = m.SlowSearchers((searcher_id,), avoid_s)
+            for name in self._entries:
+                self._out.append(Send(name, told))
+
     def _take_subscribe(self, sender: str, msg: m.Subscribe) -> None:
         known = self._entries.get(sender)
         is_new = sender not in self._entries_seen
@@ -291,6 +304,7 @@
             elif heard.heard_at < self._now - FORGET_S:
                 ended.append(searcher_id)
         for searcher_id in ended:
+            self._slow.forget(searcher_id)
             row = self._searchers.pop(searcher_id).row
             if self._by_address.get(row.address) == searcher_id:
                 del self._by_address[row.address]
--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -120,9 +120,31 @@
     """Says that the link works; sent when nothing else was."""
 
 
+@attrs.frozen
+class SlowReport:
+    """An entry saw late answers, or none, of these searchers; once each."""
+
+    searcher_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class SlowSearchers:
+    """These searchers are slow for several entries; avoid them that long."""
+
+    searcher_ids: tuple[str, ...]
+    for_s: float
+
+
 # Inside a process.
 
 
+@attrs.frozen
+class SlowSeen:
+    """A send took several times the usual of its route."""
+
+    searcher_id: str
+
+
 @attrs.frozen
 class Announced:
     """A searcher announced itself here.
--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -23,6 +23,7 @@
 
 FETCH_AGAIN_S = 0.5
 READ_AGAIN_S = 0.1
+REPORT_EVERY_S = 0.1
 SETTLE_S = 0.4
 """How long a starting entry waits for control instances that don't answer,
 after one has confirmed the document."""
@@ -66,6 +67,8 @@
         self._sources: dict[str, _Source] = {}
         self._rows: dict[str, m.SearcherRow] = {}
         self._fetch: _Fetch | None = None
+        self._slow_seen: set[str] = set()
+        self._report_at = 0.0
         self._read_at = 0.0
         self._op_ids = count(1)
         self._now = 0.0
@@ -76,15 +79,17 @@
 
         Args:
             now: seconds of a clock that doesn't go back.
-            msgs: ``LinkUp``, ``LinkDown``, ``Received``.
+            msgs: ``LinkUp``, ``LinkDown``, ``Received``, ``SlowSeen``.
 
         Returns:
-            ``Send``, ``SearcherLearnt``, ``DocumentLearnt``, ``ReadyChanged``.
+            ``Send``, ``SearcherLearnt``, ``SlowSearchers``,
+            ``DocumentLearnt``, ``ReadyChanged``.
         """
         self._now = now
         self._out = []
         for msg in msgs:
             self._take(msg)
+        self._drive_report()
         self._drive_fetch()
         self._drive_read()
         self._drive_ready()
@@ -116,6 +121,8 @@
             self._out.append(Send(msg.name, self.me))
         elif isinstance(msg, m.LinkDown):
             self._sources.pop(msg.name, None)
+        elif isinstance(msg, m.SlowSeen):
+            self._slow_seen.add(msg.searcher_id)
         elif isinstance(msg, Received):
             self._take_payload(msg.sender, msg.payload)
 
@@ -130,6 +137,8 @@
             source.document = max(source.document, payload.number)
         elif isinstance(payload, m.NumberedDocument):
             self._take_document(payload.number, payload.packed)
+        elif isinstance(payload, m.SlowSearchers):
+            self._out.append(payload)
         elif isinstance(payload, m.KnownPeers):
             self.peers = tuple(sorted({*self.peers, *payload.addresses}))
             self.entries = max(self.entries, payload.entries)
@@ -178,6 +187,20 @@
         self._fetch = _Fetch(source, self._now + FETCH_AGAIN_S)
         self._out.append(Send(source, m.WantNumbered(self.number)))
 
+    def _drive_report(self) -> None:
+        """Reports slow searchers, all to one control instance.
+
+        Reports of one searcher must meet in one place; any that all entries
+        are likely to choose will do.
+        """
+        if not self._slow_seen or self._now < self._report_at:
+            return
+        self._report_at = self._now + REPORT_EVERY_S
+        if self._sources:
+            report = m.SlowReport(tuple(sorted(self._slow_seen)))
+            self._out.append(Send(min(self._sources), report))
+        self._slow_seen.clear()
+
     def _drive_read(self) -> None:
         """Asks until a quorum has confirmed which document is current.
 
--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -7,12 +7,18 @@
 
 import attrs
 
-from greengagemoor.feed.messages import SearcherState
+from greengagemoor.feed.messages import SearcherState, SlowSeen
 
 if TYPE_CHECKING:
     from greengagemoor.forward.messages import SearcherLoad
     from greengagemoor.forward.tables import Leg, Searcher, Tables
 
+SLOW_FOR_OTHERS = 4.0
+"""Slowness of a searcher that other entries find slow; the usual trouble makes
+work 4 to 9 times as long."""
+SLOW_RATIO = 3.0
+"""A send that takes so many medians of its route counts as slow; two of 100
+sends do so by their own work."""
 RELAX_S = 4.0
 """In this time most of what was learnt of a searcher's slowness fades, so that
 one that recovers gets sends again."""
@@ -92,6 +98,8 @@
 def _slowness(tables: Tables, row: Searcher) -> float:
     age = max(0.0, tables.now - row.answered_at)
     faded = math.exp(-age / RELAX_S)
+    if tables.now < row.slow_until:
+        return max(row.slowness.value, SLOW_FOR_OTHERS)
     return 1.0 + (row.slowness.value - 1.0) * faded
 
 
@@ -130,6 +138,8 @@
     row.slowness.note(ratio)
     row.answered_at = tables.now
     row.failures = 0
+    if ratio >= SLOW_RATIO:
+        tables.out.append(SlowSeen(row.searcher_id))
     _judge(tables, row, failed=False)
 
 
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -6,7 +6,11 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from greengagemoor.feed.messages import SearcherLearnt, SearcherState
+from greengagemoor.feed.messages import (
+    SearcherLearnt,
+    SearcherState,
+    SlowSearchers,
+)
 from greengagemoor.forward import choosing, completion, sending
 from greengagemoor.forward.messages import (
     Arrived,
@@ -54,10 +58,10 @@
         Args:
             now: seconds of a clock that doesn't go back.
             msgs: ``Arrived``, ``CallerGone``, ``AttemptEnded``,
-                ``SearcherLearnt``.
+                ``SearcherLearnt``, ``SlowSearchers``.
 
         Returns:
-            ``StartAttempt``, ``CancelAttempt`` and ``Respond``.
+            ``StartAttempt``, ``CancelAttempt``, ``Respond`` and ``SlowSeen``.
         """
         tables = self.tables
         tables.now = now
@@ -131,6 +135,8 @@
                 completion.finish(self.tables, request, Ending.CALLER_GONE)
         elif isinstance(msg, SearcherLearnt):
             self._take_searcher(msg.row)
+        elif isinstance(msg, SlowSearchers):
+            self._take_slow(msg)
 
     def _take_ended(self, msg: AttemptEnded) -> None:
         leg = sending.take_ended(self.tables, msg)
@@ -241,6 +247,12 @@
         else:
             completion.finish(self.tables, request, Ending.NOT_RUN_BUSY)
 
+    def _take_slow(self, msg: SlowSearchers) -> None:
+        for searcher_id in msg.searcher_ids:
+            searcher = self.tables.searchers.get(searcher_id)
+            if searcher is not None:
+                searcher.slow_until = self.tables.now + msg.for_s
+
     def _take_searcher(self, row: SearcherRow) -> None:
         searcher = self.tables.searchers.get(row.searcher_id)
         if searcher is None:
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -54,6 +54,7 @@
         others: requests of other entries there, at its last word.
         failing: smoothed share of sends that failed.
         avoid_until: it isn't chosen before, after failures in a row.
+        slow_until: until then other entries find it slow.
     """
 
     searcher_id: str
@@ -74,6 +75,7 @@
     judged_at: float = float("-inf")
     failures: int = 0
     avoid_until: float = float("-inf")
+    slow_until: float = float("-inf")
 
 
 @attrs.define(eq=False)
--- a/greengagemoor/logfields.py
+++ b/greengagemoor/logfields.py
@@ -24,6 +24,7 @@
     "operation": "an operator's put or read ended",
     "ready": "whether callers may be given this entry has changed",
     "searcher": "what this process knows of a searcher has changed",
+    "searcher_slow": "several entries find a searcher slow; it is avoided",
     "answer": "a request has its final answer",
     "step": "a decision on the way of a request that did not go as expected",
     "no_route": "a request that no route allows",
@@ -84,4 +85,5 @@
     "member": "instance and identity of the data folder",
     "entries": "log entries found in the data folder",
     "number": "how many",
+    "for_s": "seconds",
 }
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -326,7 +326,12 @@
     control.JoinReply,
     control.OpRequest,
 )
-_HUB_PAYLOADS = (feed.Subscribe, feed.RowsTaken, feed.WantNumbered)
+_HUB_PAYLOADS = (
+    feed.Subscribe,
+    feed.RowsTaken,
+    feed.SlowReport,
+    feed.WantNumbered,
+)
 _HUB_MESSAGES = (
     feed.Announced,
     feed.Leaving,
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -154,9 +154,8 @@
     # Ticks.
 
     def _tick(self, now: float, msgs: list) -> float | None:
-        from_feed = (feed.LinkUp, feed.LinkDown, Received)
-        feed_msgs = [msg for msg in msgs if isinstance(msg, from_feed)]
-        forward_msgs = [msg for msg in msgs if not isinstance(msg, from_feed)]
+        feed_msgs = [msg for msg in msgs if isinstance(msg, _FOR_VIEW)]
+        forward_msgs = [msg for msg in msgs if not isinstance(msg, _FOR_VIEW)]
         if feed_msgs or now >= self._view.next_wake() or self._view.leaving:
             for msg in self._view.step(now, feed_msgs):
                 self._act_on_view(msg, forward_msgs)
@@ -181,6 +180,10 @@
                 sequence=msg.row.sequence,
             )
             forward_msgs.append(msg)
+        elif isinstance(msg, feed.SlowSearchers):
+            ids = ",".join(msg.searcher_ids)
+            log.event("searcher_slow", searcher=ids, for_s=msg.for_s)
+            forward_msgs.append(msg)
         elif isinstance(msg, feed.DocumentLearnt):
             self._take_document(msg)
         elif isinstance(msg, feed.ReadyChanged):
@@ -211,6 +214,8 @@
                 sending.cancel()
         elif isinstance(msg, Respond):
             self._respond(msg)
+        elif isinstance(msg, feed.SlowSeen):
+            self._ticker.put(msg)
 
     def _start_attempt(self, msg: StartAttempt) -> None:
         req = self._requests.get(msg.token)
@@ -267,6 +272,9 @@
         asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
 
+_FOR_VIEW = (feed.LinkUp, feed.LinkDown, feed.SlowSeen, Received)
+
+
 class _Health:
     """Answers the platform's question whether this entry is ready."""
 
--- /dev/null
+++ b/tests/test_feed/test_slowness.py
@@ -0,0 +1,66 @@
+"""Searchers that several entries find slow."""
+
+from __future__ import annotations
+
+from greengagemoor.control.messages import Received, Send
+from greengagemoor.feed import messages as m
+from greengagemoor.feed.slowness import (
+    FIRST_AVOID_S,
+    LONGEST_AVOID_S,
+    SlowTable,
+)
+from tests.test_feed.test_hub_and_view import HubBench, ViewBench
+
+
+def told(table, *times):
+    """Returns what the table said to reports at these times."""
+    return [table.note(at, "i1") for at in times]
+
+
+class TestSlowTable:
+    """Reports over some time, not at one moment."""
+
+    def test_pause_is_not_slowness(self):
+        """A pause makes several sends late at the same moment."""
+        times = [1.0 + 0.05 * i for i in range(12)]
+        assert told(SlowTable(), *times, 2.1) == [None] * 13
+
+    def test_reports_over_time_are(self):
+        times = [1.1 + 0.2 * i for i in range(5)]
+        assert told(SlowTable(), *times) == [None] * 4 + [FIRST_AVOID_S]
+
+    def test_old_reports_do_not_count(self):
+        times = [1.1, 1.3, 1.5, 1.7, 5.1, 5.3, 5.5, 5.7]
+        assert told(SlowTable(), *times) == [None] * 8
+
+    def test_slow_again_is_avoided_longer_up_to_a_bound(self):
+        table = SlowTable()
+        now, spans = 0.0, []
+        for _ in range(4):
+            *_, span = told(table, *(now + 0.1 + 0.2 * i for i in range(5)))
+            spans.append(span)
+            now = round(now + 1.0 + span, 1)
+        assert spans == [2.0, 4.0, LONGEST_AVOID_S, LONGEST_AVOID_S]
+
+
+class TestWay:
+    """From one entry's late answers to what all entries avoid."""
+
+    def test_entry_reports_and_hub_tells_all(self):
+        """Symptom: each of 78 entries found a slow searcher by itself."""
+        view = ViewBench()
+        view.step(m.LinkUp("c1"))
+        sent = []
+        for _ in range(9):
+            sent += view.step(m.SlowSeen("i1"), after=0.15)
+        reports = [x for x in sent if isinstance(x.payload, m.SlowReport)]
+        assert reports
+        bench = HubBench()
+        bench.subscribe("e1")
+        bench.subscribe("e2")
+        out = []
+        for msg in reports:
+            out += bench.step(Received("e1", msg.payload), after=0.2)
+        slow = m.SlowSearchers(("i1",), FIRST_AVOID_S)
+        assert Send("e1", slow) in out
+        assert Send("e2", slow) in out
--- a/tests/test_forward/test_decider.py
+++ b/tests/test_forward/test_decider.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from greengagemoor.feed.messages import SearcherState
+from greengagemoor.feed.messages import SearcherState, SlowSearchers
 from greengagemoor.forward import messages as m
 from greengagemoor.forward.messages import Ending, Outcome
 from greengagemoor.routing.routes import Grade, WeightedService
@@ -340,3 +340,21 @@
             else:
                 bench.answer(start)
         assert counts["s0.0"] < 20
+
+    def test_slow_for_others_is_avoided_for_a_while(self):
+        bench = Bench(searchers=2)
+        bench.step(SlowSearchers(("s0.0",), 2.0))
+        seen = set()
+        for _ in range(20):
+            (start,) = starts(bench.arrive(single()))
+            seen.add(start.searcher_id)
+            bench.now += 0.01
+            bench.answer(start)
+        assert seen == {"s0.1"}
+        bench.now += 10.0
+        for _ in range(20):
+            (start,) = starts(bench.arrive(single()))
+            seen.add(start.searcher_id)
+            bench.now += 0.01
+            bench.answer(start)
+        assert seen == {"s0.0", "s0.1"}
