A fault soak of the real programs on loopback

Entries and control instances as processes; faults from outside: kill, all control instances at once, a lost disk, SIGSTOP, SIGTERM, slow, crashed and leaving searchers. Checked from callers, operator and searchers: merged answers, at most once, refused and not run, reads never older, drains, recovery.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: the real programs on loopback, faults from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,251 @@
+"""Runs seeds: ``python -m soak --seeds 1-50 --seconds 25``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import shutil
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+from greengagemoor import log
+from soak.callers import SERVICES, Caller, Operator
+from soak.searchers import Searcher
+from soak.world import World
+
+CONTROLS, ENTRIES, REPLICAS = 3, 3, 3
+START_S = 15.0
+CALM_S = 8.0
+RECOVERED_SHARE = 0.9
+
+
+class Run:
+    """One seed: load, faults in series and overlapping, then calm."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path):
+        self.seed = seed
+        self.seconds = seconds
+        self.rng = random.Random(seed)
+        self.world = World(folder, 10 + seed % 200, CONTROLS, ENTRIES)
+        self.caller = Caller(self.world, self.rng)
+        self.operator = Operator(self.world, self.rng)
+        self.searchers: list[Searcher] = []
+        self.events: list[str] = []
+        self._ports = 8080
+
+    async def play(self) -> list[str]:
+        """Plays the run; returns the promises that were broken."""
+        tasks = []
+        try:
+            for machine in self.world.machines:
+                self.world.start(machine)
+            for service in SERVICES:
+                for _ in range(REPLICAS):
+                    await self.add_searcher(service)
+            await self._until(self.operator.put, "no document was accepted")
+            await self._until(self._served, "nothing was served at first")
+            tasks = [
+                asyncio.create_task(t) for t in (self._load(), self._put())
+            ]
+            await self._break_things()
+            await asyncio.sleep(CALM_S)
+            for task in tasks:
+                task.cancel()
+            await self._check_recovered()
+            self.caller.check_runs()
+            self.check_once()
+            self.world.check_ends()
+        finally:
+            for task in tasks:
+                task.cancel()
+            self.world.stop()
+            for searcher in self.searchers:
+                searcher.stop()
+        return self.world.faults
+
+    def check_once(self) -> None:
+        """No booking ran twice; only s0 takes them, in tens of thousands."""
+        # Queries may repeat: their ids are told apart by having run elsewhere.
+        queries = {key for key, name in self.world.runs if name != "s0"}
+        twice = [
+            key
+            for (key, name), number in self.world.runs.items()
+            if name == "s0" and number > 1 and key not in queries
+        ]
+        self.world.faults += [f"{key}: a booking ran twice" for key in twice]
+
+    async def add_searcher(self, service: str) -> None:
+        """Starts a searcher at a new address."""
+        self._ports += 1
+        address = f"127.{10 + self.seed % 200}.3.1:{self._ports}"
+        searcher = Searcher(self.world, service, address, self.rng)
+        await searcher.start()
+        self.searchers.append(searcher)
+
+    async def _until(self, trial, fault: str) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + START_S
+        while loop.time() < end:
+            if await trial():
+                return
+            await asyncio.sleep(0.1)
+        self.world.faults.append(fault)
+
+    async def _served(self) -> bool:
+        await self.caller.look_up()
+        return await self.caller.ask("/all/") == 200
+
+    async def _load(self) -> None:
+        while True:
+            if self.rng.random() < 0.1:
+                await self.caller.look_up()
+            prefix = "/once/" if self.rng.random() < 0.3 else "/all/"
+            await self.caller.ask(prefix)
+
+    async def _put(self) -> None:
+        while True:
+            await self.operator.put()
+            await self.operator.read()
+            await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+
+    async def _break_things(self) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.seconds
+        pending = set()
+        while loop.time() < end:
+            fault = self.rng.choice(FAULTS)
+            self.events.append(f"{fault.__name__}")
+            pending.add(asyncio.create_task(fault(self)))
+            await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+        await asyncio.gather(*pending)
+
+    async def _check_recovered(self) -> None:
+        await self.caller.look_up()
+        good = [await self.caller.ask("/all/") == 200 for _ in range(40)]
+        if sum(good) < RECOVERED_SHARE * len(good):
+            self.world.faults.append(f"{sum(good)} of 40 served when calm")
+        await self._until(self._read_back, "no read when calm")
+
+    async def _read_back(self) -> bool:
+        return await self.operator.read() is not None
+
+
+async def kill(run: Run) -> None:
+    """Kills any process; it starts again at once."""
+    run.world.kill(run.rng.choice(run.world.machines))
+
+
+async def kill_all_control(run: Run) -> None:
+    """Kills all control instances at the same moment."""
+    for machine in run.world.of_role("control"):
+        run.world.kill(machine)
+
+
+async def lose_disk(run: Run) -> None:
+    """One control instance loses its disk, once all have had time."""
+    if any(e == "lose_disk" for e in run.events[:-1]):
+        return
+    run.world.kill(run.rng.choice(run.world.of_role("control")), wipe=True)
+
+
+async def freeze(run: Run) -> None:
+    """Stops a process for some seconds."""
+    machine = run.rng.choice(run.world.machines)
+    run.world.signal(machine, signal.SIGSTOP)
+    await asyncio.sleep(run.rng.uniform(0.5, 3.0))
+    run.world.signal(machine, signal.SIGCONT)
+
+
+async def end_entry(run: Run) -> None:
+    """Ends an entry in order, and starts it again."""
+    machine = run.rng.choice(run.world.of_role("entry"))
+    process = machine.process
+    run.world.signal(machine, signal.SIGTERM)
+    while machine.process is process and process.poll() is None:
+        await asyncio.sleep(0.1)
+    if machine.process is process:
+        if process.returncode not in (0, -signal.SIGTERM):
+            run.world.faults.append(f"SIGTERM ended in {process.returncode}")
+        run.world.start(machine)
+
+
+async def slow_searcher(run: Run) -> None:
+    """A searcher turns slow."""
+    loop = asyncio.get_running_loop()
+    run.rng.choice(run.searchers).slow_until = loop.time() + 4.0
+
+
+async def crash_searcher(run: Run) -> None:
+    """A searcher ends without a word; another one starts elsewhere."""
+    searcher = run.rng.choice(run.searchers)
+    run.searchers.remove(searcher)
+    searcher.stop()
+    await run.add_searcher(searcher.service)
+
+
+async def drain_searcher(run: Run) -> None:
+    """A searcher leaves in order; another one starts elsewhere."""
+    searcher = run.rng.choice(run.searchers)
+    run.searchers.remove(searcher)
+    await run.add_searcher(searcher.service)
+    await searcher.drain()
+
+
+FAULTS = (
+    kill,
+    kill_all_control,
+    lose_disk,
+    freeze,
+    end_entry,
+    slow_searcher,
+    crash_searcher,
+    drain_searcher,
+)
+
+
+async def _play(
+    seed: int, seconds: float, folder: Path
+) -> tuple[Run, list[str]]:
+    run = Run(seed, seconds, folder)
+    return run, await run.play()
+
+
+def play(seed: int, seconds: float) -> list[str]:
+    """Plays one seed; its logs stay behind when a promise was broken."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    run, faults = asyncio.run(_play(seed, seconds, folder))
+    print(
+        f"seed {seed}: {len(faults)} broken, answers "
+        f"{dict(sorted(run.caller.endings.items()))}, document "
+        f"{run.operator.acknowledged}, faults {len(run.events)}",
+        flush=True,
+    )
+    for fault in faults[:10]:
+        print(f"  {fault}")
+    if faults:
+        print(f"  events: {' '.join(run.events)}")
+        print(f"  logs: {folder}")
+    else:
+        shutil.rmtree(folder)
+    return faults
+
+
+def main() -> int:
+    """Plays the seeds that the command line names."""
+    parser = argparse.ArgumentParser(prog="soak")
+    parser.add_argument("--seeds", default="1-3", help="FIRST-LAST")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    args = parser.parse_args()
+    log.set_up("ERROR", "soak")
+    first, _, last = args.seeds.partition("-")
+    seeds = range(int(first), int(last or first) + 1)
+    broken = [seed for seed in seeds if play(seed, args.seconds)]
+    print(f"{len(seeds)} seeds, broken: {broken or 'none'}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,135 @@
+"""The processes of a soak run: starts, stops and breaks them by their ids."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    import random
+
+DRAIN_S = 3.0
+PORTS = {"front": 8226, "ready": 8227, "control": 8224, "directory": 8225}
+PEER_PORTS = "7740,7755"
+GRACE_S = 6
+
+
+@attrs.define(eq=False)
+class Machine:
+    """One machine: a loopback address, and a process on it."""
+
+    name: str
+    role: str
+    ip: str
+    folder: Path
+    process: subprocess.Popen | None = None
+    bootstrap: bool = True
+    starts: int = 0
+
+
+class World:
+    """All machines of a run, and what was seen of them."""
+
+    def __init__(self, folder: Path, net: int, controls: int, entries: int):
+        self.folder = folder
+        self.faults: list[str] = []
+        self.runs: Counter = Counter()
+        self.machines = [
+            self._machine("control", f"127.{net}.1.{i + 1}")
+            for i in range(controls)
+        ] + [
+            self._machine("entry", f"127.{net}.2.{i + 1}")
+            for i in range(entries)
+        ]
+
+    def _machine(self, role: str, ip: str) -> Machine:
+        folder = self.folder / f"{role}-{ip}"
+        folder.mkdir(parents=True)
+        return Machine(f"{role}-{ip}", role, ip, folder)
+
+    def of_role(self, role: str) -> list[Machine]:
+        """Returns the machines with a role."""
+        return [m for m in self.machines if m.role == role]
+
+    def control_addresses(self, rng: random.Random) -> list[str]:
+        """Returns operators' addresses in a random order."""
+        ips = [m.ip for m in self.of_role("control")]
+        rng.shuffle(ips)
+        return [f"{ip}:{PORTS['control']}" for ip in ips]
+
+    def start(self, machine: Machine) -> None:
+        """Writes the settings and starts the process."""
+        boot = machine.folder / "boot.conf"
+        boot.write_text(self._settings(machine))
+        machine.bootstrap = False
+        machine.starts += 1
+        with (machine.folder / "log").open("ab") as out:
+            machine.process = subprocess.Popen(
+                [sys.executable, "-m", "greengagemoor.platform", machine.role],
+                env={**os.environ, "GREENGAGEMOOR_BOOT": str(boot)},
+                stdout=out,
+                stderr=out,
+            )
+
+    def _settings(self, machine: Machine) -> str:
+        seeds = [m.ip for m in self.of_role("control")][:3]
+        lines = {
+            "ip": machine.ip,
+            "zone": "dc1",
+            "internal-port-range": PEER_PORTS,
+            "seed-addrs": ",".join(f"{s}:{PORTS['control']}" for s in seeds),
+            "bootstrap": str(machine.bootstrap).lower(),
+            "heartbeat-ms": "400",
+            "bounds.grace-s": str(GRACE_S),
+        }
+        serves = {"entry": ("front", "ready"), "control": PORTS}[machine.role]
+        if machine.role == "control":
+            serves = ("control", "directory")
+            lines["data-dir"] = str(machine.folder / "data")
+        for name in serves:
+            lines[f"listen-addrs.{name}"] = f"{machine.ip}:{PORTS[name]}"
+        return "".join(f"{key}={value}\n" for key, value in lines.items())
+
+    def kill(self, machine: Machine, *, wipe: bool = False) -> None:
+        """Kills a process, perhaps with its disk, and starts it again."""
+        machine.process.kill()
+        machine.process.wait()
+        if wipe:
+            shutil.rmtree(machine.folder / "data", ignore_errors=True)
+        self.start(machine)
+
+    def signal(self, machine: Machine, number: signal.Signals) -> None:
+        """Sends a signal to a process that this run started."""
+        machine.process.send_signal(number)
+
+    def check_drain(self, searcher, now: float) -> None:
+        """A drained searcher gets nothing a few seconds later."""
+        since = searcher.draining_since
+        if since is not None and now > since + DRAIN_S:
+            self.faults.append(
+                f"a send {now - since:.1f} s after a drain was acknowledged"
+            )
+
+    def check_ends(self) -> None:
+        """No process may end by itself."""
+        for machine in self.machines:
+            code = machine.process.poll()
+            if code is not None:
+                self.faults.append(f"{machine.name} ended by itself: {code}")
+                self.start(machine)
+
+    def stop(self) -> None:
+        """Ends all processes of the run."""
+        for machine in self.machines:
+            if machine.process is not None:
+                machine.process.send_signal(signal.SIGCONT)
+                machine.process.kill()
+                machine.process.wait()
