--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -62,6 +62,7 @@
         self.entries = 1
         self.peers: tuple[str, ...] = ()
         self.leaving = False
+        self.is_settled = False
         self._confirmed = 0
         self._confirmed_at: float | None = None
         self._sources: dict[str, _Source] = {}
@@ -219,7 +220,8 @@
             self._out.append(Send(name, request))
 
     def _drive_ready(self) -> None:
-        ready = not self.leaving and self._is_settled()
+        self.is_settled = self._settled()
+        ready = not self.leaving and self.is_settled
         if ready == self.me.ready:
             return
         self.me = attrs.evolve(self.me, ready=ready)
@@ -227,8 +229,9 @@
         for name in self._sources:
             self._out.append(Send(name, self.me))
 
-    def _is_settled(self) -> bool:
-        if self.me.ready:
+    def _settled(self) -> bool:
+        """Whether the document is confirmed and the searchers are known."""
+        if self.is_settled:
             return True
         if not self.is_confirmed:
             return False
