--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -62,7 +62,6 @@
         self.entries = 1
         self.peers: tuple[str, ...] = ()
         self.leaving = False
-        self.is_settled = False
         self._confirmed = 0
         self._confirmed_at: float | None = None
         self._sources: dict[str, _Source] = {}
@@ -220,8 +219,7 @@
             self._out.append(Send(name, request))
 
     def _drive_ready(self) -> None:
-        self.is_settled = self._settled()
-        ready = not self.leaving and self.is_settled
+        ready = not self.leaving and self._is_settled()
         if ready == self.me.ready:
             return
         self.me = attrs.evolve(self.me, ready=ready)
@@ -229,9 +227,8 @@
         for name in self._sources:
             self._out.append(Send(name, self.me))
 
-    def _settled(self) -> bool:
-        """Whether the document is confirmed and the searchers are known."""
-        if self.is_settled:
+    def _is_settled(self) -> bool:
+        if self.me.ready:
             return True
         if not self.is_confirmed:
             return False
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -29,7 +29,6 @@
 )
 from greengagemoor.forward.tables import Policy
 from greengagemoor.routing import routes
-from greengagemoor.serving.early import EarlyRequests
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.requestlog import RequestLog
 from greengagemoor.serving.ticker import Ticker
@@ -37,7 +36,7 @@
 
 if TYPE_CHECKING:
     from greengagemoor.aio.server import HttpRequest
-    from greengagemoor.serving.dialect import CallerWords, Dialect, Reply
+    from greengagemoor.serving.dialect import Dialect, Reply
     from greengagemoor.serving.settings import ServingSettings
 
 RATIO_SHARE = 0.85
@@ -66,7 +65,6 @@
         self._pool = Pool()
         self._limits = Limits()
         self._callers = HttpServer(cfg.caller_address, self, self._limits)
-        self._early = EarlyRequests()
         self._tokens = count(1)
         self._requests: dict[int, HttpRequest] = {}
         self._sends: dict[int, Sending] = {}
@@ -124,25 +122,10 @@
 
     def take(self, req: HttpRequest) -> None:
         """Takes a caller's request."""
-        words = self._dialect.read_request(req)
-        if self._view.is_settled:
-            self._admit(req, words)
-        elif self._early.is_full:
+        if self._table is None or not self._view.is_confirmed:
             self._reply(req, self._dialect.write_no_document())
-        else:
-            patience = words.patience_s
-            self._early.add(self.clock.now(), req, words, patience)
-            self._ticker.wake()
-
-    def _serve_early(self, now: float) -> None:
-        """Admits what waited for the start, refuses what waited enough."""
-        if self._view.is_settled:
-            for waiting in self._early.take_all():
-                self._admit(waiting.req, waiting.words)
-        for waiting in self._early.take_expired(now):
-            self._reply(waiting.req, self._dialect.write_no_document())
-
-    def _admit(self, req: HttpRequest, words: CallerWords) -> None:
+            return
+        words = self._dialect.read_request(req)
         route = self._table.find(words.host, req.path)
         if route is None:
             log.event(
@@ -162,7 +145,6 @@
 
     def gone(self, req: HttpRequest) -> None:
         """Lets go of a request whose caller left."""
-        self._early.remove(req)
         if self._requests.pop(req.token, None) is not None:
             self._ticker.put(CallerGone(req.token))
 
@@ -179,15 +161,11 @@
                 self._act_on_view(msg, forward_msgs)
             self._links.want(set(self._view.peers))
             self._forward.set_entries(self._view.entries)
-        self._serve_early(now)
         for msg in self._forward.step(now, forward_msgs):
             self._act(msg)
-        times = (
-            self._view.next_wake(),
-            self._forward.next_wake(),
-            self._early.next_wake(),
-        )
-        return min(at for at in times if at is not None)
+        wake = self._view.next_wake()
+        other = self._forward.next_wake()
+        return wake if other is None else min(wake, other)
 
     def _act_on_view(self, msg: object, forward_msgs: list) -> None:
         if isinstance(msg, Send):
--- a/greengagemoor/serving/ticker.py
+++ b/greengagemoor/serving/ticker.py
@@ -39,10 +39,6 @@
     def put(self, msg: object) -> None:
         """Adds a message; the tick runs in this turn of the loop."""
         self._inbox.append(msg)
-        self.wake()
-
-    def wake(self) -> None:
-        """Runs a tick in this turn of the loop, without a message."""
         if not self._scheduled:
             self._scheduled = True
             self._loop.call_soon(self.tick)
