--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -16,6 +16,10 @@
 SLOW_FOR_OTHERS = 4.0
 """Slowness of a searcher that other entries find slow; the usual trouble makes
 work 4 to 9 times as long."""
+FRESH_S = 1.0
+"""An own answer so lately says more than what others find. With nine entries
+each hears every searcher that often; there, following the others instead cost
+0.013 of worth over six days."""
 SLOW_RATIO = 3.0
 """A send that takes so many medians of its route counts as slow; two of 100
 sends do so by their own work."""
@@ -98,7 +102,7 @@
 def _slowness(tables: Tables, row: Searcher) -> float:
     age = max(0.0, tables.now - row.answered_at)
     faded = math.exp(-age / RELAX_S)
-    if tables.now < row.slow_until:
+    if tables.now < row.slow_until and age > FRESH_S:
         return max(row.slowness.value, SLOW_FOR_OTHERS)
     return 1.0 + (row.slowness.value - 1.0) * faded
 
--- a/tests/test_forward/test_decider.py
+++ b/tests/test_forward/test_decider.py
@@ -341,6 +341,18 @@
                 bench.answer(start)
         assert counts["s0.0"] < 20
 
+    def test_own_fresh_answer_outweighs_what_others_find(self):
+        bench = Bench(searchers=1)
+        (start,) = starts(bench.arrive(single()))
+        bench.now += 0.01
+        bench.answer(start)
+        bench.step(SlowSearchers(("s0.0",), 2.0))
+        bench.learn("s0.1", "s0")
+        bench.decider.tables.searchers["s0.1"].slowness.value = 2.0
+        bench.decider.tables.searchers["s0.1"].answered_at = bench.now
+        (start,) = starts(bench.arrive(single()))
+        assert start.searcher_id == "s0.0"
+
     def test_slow_for_others_is_avoided_for_a_while(self):
         bench = Bench(searchers=2)
         bench.step(SlowSearchers(("s0.0",), 2.0))
