--- a/greengagemoor/control/messages.py
+++ b/greengagemoor/control/messages.py
@@ -276,3 +276,16 @@
     group: str
     stamp: tuple[int, int]
     version: int
+
+
+MEMBER_PAYLOADS = (
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    InstallSnapshot,
+    JoinRequest,
+    JoinReply,
+    OpRequest,
+)
+"""What the control decider takes from other processes."""
--- a/greengagemoor/node.py
+++ b/greengagemoor/node.py
@@ -252,7 +252,7 @@
     def for_payload(self, payload: object) -> deque:
         if isinstance(payload, control.OpReply):
             return self.client
-        if isinstance(payload, _CONTROL_PAYLOADS):
+        if isinstance(payload, control.MEMBER_PAYLOADS):
             return self.control
         return self.membership
 
@@ -279,13 +279,3 @@
     control.PersistFailed,
     control.Recovered,
 )
-_CONTROL_PAYLOADS = (
-    control.VoteRequest,
-    control.VoteReply,
-    control.AppendRequest,
-    control.AppendReply,
-    control.InstallSnapshot,
-    control.JoinRequest,
-    control.JoinReply,
-    control.OpRequest,
-)
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -300,7 +300,7 @@
 
 def _is_for_decider(msg: object) -> bool:
     if isinstance(msg, control.Received):
-        return isinstance(msg.payload, _CONTROL_PAYLOADS)
+        return isinstance(msg.payload, control.MEMBER_PAYLOADS)
     return isinstance(msg, (control.Persisted, control.Recovered))
 
 
@@ -316,16 +316,6 @@
     return isinstance(msg, Ask)
 
 
-_CONTROL_PAYLOADS = (
-    control.VoteRequest,
-    control.VoteReply,
-    control.AppendRequest,
-    control.AppendReply,
-    control.InstallSnapshot,
-    control.JoinRequest,
-    control.JoinReply,
-    control.OpRequest,
-)
 _HUB_PAYLOADS = (
     feed.Subscribe,
     feed.RowsTaken,
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -10,8 +10,9 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
-from greengagemoor.aio.client import HttpAnswer, HttpFailure, Pool, Sending
+from greengagemoor.aio.client import HttpAnswer, HttpFailure
 from greengagemoor.aio.links import Links
+from greengagemoor.aio.pool import Pool, Sending
 from greengagemoor.aio.server import HttpServer, Limits
 from greengagemoor.control.messages import Received, Send
 from greengagemoor.errors import DocumentError
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,7 +7,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from greengagemoor.aio.client import HttpAnswer, Pool
+from greengagemoor.aio.client import HttpAnswer
+from greengagemoor.aio.pool import Pool
 from greengagemoor.forward.mergers import merge_greatest
 from soak.searchers import call, records
 from soak.world import PORTS
--- a/soak/searchers.py
+++ b/soak/searchers.py
@@ -8,7 +8,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from greengagemoor.aio.client import HttpAnswer, Pool
+from greengagemoor.aio.client import HttpAnswer
+from greengagemoor.aio.pool import Pool
 from greengagemoor.aio.server import HttpServer, Limits
 
 if TYPE_CHECKING:
--- a/tests/test_aio/test_client.py
+++ b/tests/test_aio/test_client.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from greengagemoor.aio.client import HttpAnswer, HttpFailure, Pool
+from greengagemoor.aio.client import HttpAnswer, HttpFailure
+from greengagemoor.aio.pool import Pool
 from tests.test_aio.helpers import ok, raw_server, read_head, reset, run
 
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
