--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.ready
 
-.PHONY: demo test lint format bench slopes costs mutants proto clean
+SEEDS ?= 1-10
+SECONDS ?= 10
+
+.PHONY: demo test lint format bench slopes costs mutants soak proto clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +41,9 @@
 mutants: $(STAMP)
 	$(BIN)/python -m bench.mutants
 
+soak: $(STAMP)
+	$(BIN)/python -m soak --seeds $(SEEDS) --seconds $(SECONDS)
+
 proto: $(STAMP)
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I . \
 	  --python_out=. --grpclib_python_out=. greengagemoor/wire/peers.proto
