A dropped idle connection is no attempt

Ruled out: the budget (stale sends are free), other searchers' state (ready). Now the same searcher gets it again on a fresh connection; a request that must not run twice is not sent again.

--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -35,6 +35,13 @@
     choice = choosing.choose(tables, leg)
     if choice is None:
         return False
+    _send_to(tables, leg, choice, second=second)
+    return True
+
+
+def _send_to(
+    tables: Tables, leg: Leg, choice: choosing.Choice, *, second: bool = False
+) -> None:
     searcher = choice.searcher
     request = leg.request
     request.steps.append(_sent_step(tables, leg, choice, second=second))
@@ -61,7 +68,6 @@
     )
     if request.route.grade is Grade.REPEATABLE:
         _arm_hedge(tables, leg)
-    return True
 
 
 def _sent_step(
@@ -269,19 +275,36 @@
         leg.request.route.grade is not Grade.REPEATABLE
     ):
         return False
+    if stale and _send_afresh(tables, leg):
+        return True
     if not may_send_more(tables, leg):
         return False
     # What never reached a searcher costs it nothing, so no token either.
     free = outcome is Outcome.NOT_SENT or stale
     if not free and not tables.budget_of(leg.service).take():
         return False
-    if stale and leg.asked:
-        leg.asked.pop()
     if send(tables, leg):
         return True
     return _send_to_asked(tables, leg, outcome)
 
 
+def _send_afresh(tables: Tables, leg: Leg) -> bool:
+    """Sends to the searcher that had dropped an idle connection.
+
+    It is the same searcher, so this is no further attempt: also a route that
+    allows one gets its answer, where it would end with a broken connection.
+    """
+    row = tables.searchers.get(leg.asked[-1])
+    if row is None or not choosing.is_usable(tables, row):
+        return False
+    if leg.sends >= MOST_SENDS or tables.now >= leg.request.ends_at:
+        return False
+    leg.runs -= 1
+    leg.asked.pop()
+    _send_to(tables, leg, choosing.Choice(row, 0.0))
+    return True
+
+
 def _send_to_asked(tables: Tables, leg: Leg, outcome: Outcome) -> bool:
     """Falls back to searchers that were asked before, for lack of others."""
     if outcome not in (Outcome.NOT_RUN, Outcome.BROKEN, Outcome.ANSWERED):
--- a/tests/test_forward/test_decider.py
+++ b/tests/test_forward/test_decider.py
@@ -46,6 +46,19 @@
         out = bench.end(first, Outcome.BROKEN, stale=True)
         assert starts(out)
 
+    def test_stale_connection_on_a_route_of_one_attempt(self):
+        """The same searcher gets it again, on a fresh connection.
+
+        Symptom: a lookup was answered 502 after 0.7 ms. Sequence: its route
+        allows one searcher; the searcher had dropped the idle connection.
+        Cause: the broken connection counted as the one attempt.
+        """
+        bench = Bench()
+        (first,) = starts(bench.arrive(single(attempts=1)))
+        (again,) = starts(bench.end(first, Outcome.BROKEN, stale=True))
+        assert again.searcher_id == first.searcher_id
+        assert not starts(bench.end(again, Outcome.BROKEN))
+
     def test_failure_of_every_searcher_is_handed_on(self):
         bench = Bench()
         (first,) = starts(bench.arrive(single()))
