An instance that counts as alive has answered, and listens

A new leader showed members as alive that had not answered it yet, and an instance spoke to its peers before its HTTP address listened; early elections made both windows wider.

--- a/greengagemoor/application.py
+++ b/greengagemoor/application.py
@@ -189,8 +189,10 @@
         self._loop.put(StartUp())
         if recovered is not None:
             self._loop.put(recovered)
-        self._loop.start()
+        # Listening comes before the first word to other instances: one that
+        # they count as alive must not refuse its callers' connections.
         self._http.start()
+        self._loop.start()
         log.event(
             "started",
             instance=self.cfg.instance,
--- a/greengagemoor/control/decider.py
+++ b/greengagemoor/control/decider.py
@@ -229,6 +229,7 @@
         own = member.member_id == state.member_id
         alive = own or (
             progress is not None
+            and progress.answered
             and progress.last_ack >= state.now - state.timing.election
         )
         match_index = state.log.last_index if own else 0
--- a/greengagemoor/control/replication.py
+++ b/greengagemoor/control/replication.py
@@ -165,6 +165,7 @@
     if msg.term < state.term:
         return
     progress.last_ack = state.now
+    progress.answered = True
     progress.acked_round = max(progress.acked_round, msg.round)
     if not msg.ok:
         progress.next_index = max(
--- a/greengagemoor/control/state.py
+++ b/greengagemoor/control/state.py
@@ -47,12 +47,18 @@
 
 @attrs.define
 class Progress:
-    """What a leader knows of another member."""
+    """What a leader knows of another member.
+
+    Attributes:
+        last_ack: when it last answered; at first, when the leader began.
+        answered: whether it has answered this leader at all.
+    """
 
     next_index: int
     match_index: int = 0
     acked_round: int = 0
     last_ack: float = 0.0
+    answered: bool = False
     snapshot_sent_at: float = float("-inf")
 
 
