Short dials at first: links stand soon after a loss of power

They had dialled while the control machines were dark; the opening packet is dropped then, and sent again after a second, and a dial could take 0.8 s. The control group's own election waited 0.23 s for links in the same way.

Now a dial may take 0.05 s at first and the pause is 0.02 s, each growing by 1.15 up to 0.8 s.

--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -6,6 +6,8 @@
 import struct
 from typing import TYPE_CHECKING
 
+import attrs
+
 from greengagemoor import log
 from greengagemoor.aio import sockets
 from greengagemoor.control.messages import Received, Send
@@ -23,9 +25,35 @@
 SILENT_S = 1.7
 """A link without a byte for three keep-alives is dead: a cut or a freeze drops
 no connection by itself."""
-CONNECT_S = 0.8
-REDIAL_S = 0.1
-LONGEST_REDIAL_S = 0.8
+LOOK_S = 0.1
+"""How often a dialled link is looked at, to dial it again once it is gone."""
+
+
+@attrs.define
+class DialPace:
+    """How long a dial may take, and how long to wait after one that failed.
+
+    After a loss of power machines come back some ten milliseconds apart. One
+    that is still dark drops the packet that opens a connection, and it is sent
+    again after a second only: an entry had its first link a second after its
+    start. Short dials at first find the other side as soon as it listens;
+    ever longer ones leave a machine that stays dark alone.
+
+    Attributes:
+        connect_s: longest wait for the connection; at first some ten round
+            trips between data centres.
+        wait_s: pause after a failure.
+    """
+
+    connect_s: float = 0.05
+    wait_s: float = 0.02
+    growth: float = 1.15
+    longest_s: float = 0.8
+
+    def note_failure(self) -> None:
+        """Makes the next dial and the pause after it longer."""
+        self.connect_s = min(self.growth * self.connect_s, self.longest_s)
+        self.wait_s = min(self.growth * self.wait_s, self.longest_s)
 
 
 class Link(asyncio.Protocol):
@@ -147,20 +175,20 @@
 
     async def _keep_dialled(self, address: str) -> None:
         host, _, port = address.rpartition(":")
-        wait = REDIAL_S
+        pace = DialPace()
         while True:
             try:
-                async with asyncio.timeout(CONNECT_S):
+                async with asyncio.timeout(pace.connect_s):
                     _, link = await self._loop.create_connection(
                         lambda: Link(self, address), host, int(port)
                     )
             except (OSError, TimeoutError):
-                await asyncio.sleep(wait)
-                wait = min(1.05 * wait, LONGEST_REDIAL_S)
+                await asyncio.sleep(pace.wait_s)
+                pace.note_failure()
                 continue
-            wait = REDIAL_S
+            pace = DialPace()
             while link in self.open:
-                await asyncio.sleep(REDIAL_S)
+                await asyncio.sleep(LOOK_S)
 
     def received(
         self, link: Link, name: str, address: str, payloads: list
--- a/tests/test_aio/test_links.py
+++ b/tests/test_aio/test_links.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 from greengagemoor.aio import links as links_module
-from greengagemoor.aio.links import Links
+from greengagemoor.aio.links import DialPace, Links
 from greengagemoor.control.messages import Received, Send
 from greengagemoor.feed.messages import DocumentNumber, LinkDown, LinkUp
 from tests.test_aio.helpers import run
@@ -98,3 +99,32 @@
             await asyncio.sleep(0.01)
 
         run(main())
+
+
+class TestDialPace:
+    """Dials to a machine that is dark, then listens."""
+
+    def test_found_soon_after_a_loss_of_power(self):
+        """Symptom: an entry's first link stood a second after its start.
+
+        Sequence: all machines lose power and come back some ten milliseconds
+        apart. The entry dials while the control machine is dark; the packet
+        is dropped and sent again after a second. Cause: one dial could take
+        0.8 s.
+        """
+        pace = DialPace()
+        at = 0.0
+        begun = []
+        while at < 2.0:
+            begun.append(at)
+            at += pace.connect_s + pace.wait_s
+            pace.note_failure()
+        gaps = [later - earlier for earlier, later in itertools.pairwise(begun)]
+        early = [gap for gap, at in zip(gaps, begun, strict=False) if at < 0.5]
+        assert max(early) < 0.15
+
+    def test_a_machine_that_stays_dark_is_left_alone(self):
+        pace = DialPace()
+        for _ in range(100):
+            pace.note_failure()
+        assert pace.connect_s + pace.wait_s == 2 * pace.longest_s
