All searchers known at once after a kill of everything

Symptom: in the second after a closing fault most gathers left shards out; shards stood at "none" or waited for a place at their only searcher.

Two of five instances back meant two fifths of the searchers. Now control instances subscribe at each other, keep the others' rows and hand them to entries that come later; an acknowledged drain waits for them like for entries.

Ruled out: overload (the searchers were idle), connection resets (60 of 2,300 sends).

--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -10,6 +10,7 @@
 from greengagemoor.control.messages import NumberedAccepted, Received, Send
 from greengagemoor.feed import messages as m
 from greengagemoor.feed.messages import SearcherState
+from greengagemoor.feed.rows import OtherRows
 from greengagemoor.feed.slowness import SlowTable
 
 if TYPE_CHECKING:
@@ -46,7 +47,7 @@
 
 
 @attrs.define
-class _Entry:
+class _Subscriber:
     subscribe: m.Subscribe
     taken: int = 0
 
@@ -63,14 +64,22 @@
 
     Each entry subscribes at every control instance, so a change crosses each
     link once, and no two control instances need to agree on a searcher: the
-    entry takes the row with the highest sequence.
+    entry takes the row with the highest sequence. Control instances subscribe
+    at each other too; what they learn so is for entries that subscribe later.
     """
 
-    def __init__(self, timing: Timing):
+    def __init__(self, timing: Timing, name: str = ""):
+        """Starts knowing nothing.
+
+        Args:
+            timing: intervals.
+            name: this control instance.
+        """
         self._timing = timing
+        self._me = m.Subscribe(name, "", "", ready=False)
         self._searchers: dict[str, _Heard] = {}
         self._by_address: dict[str, str] = {}
-        self._entries: dict[str, _Entry] = {}
+        self._subscribers: dict[str, _Subscriber] = {}
         self._entries_seen: dict[str, float] = {}
         self._waiting: deque[_Waiting] = deque()
         self._changed: list[m.SearcherRow] = []
@@ -78,6 +87,10 @@
         self._document = m.NumberedDocument(0, b"")
         self._peers: tuple[str, ...] = ()
         self._peers_changed = False
+        self._peer_names: frozenset[str] = frozenset()
+        self._linked: set[str] = set()
+        self._subscribed: set[str] = set()
+        self._others = OtherRows(LOST_AFTER_BEATS * timing.announce, FORGET_S)
         self._slow = SlowTable()
         self._sweep_at = 0.0
         self._now = 0.0
@@ -88,13 +101,18 @@
         """Grows with each change of the rows."""
         return self._number
 
+    @property
+    def others_number(self) -> int:
+        """Grows with each change of other instances' rows."""
+        return self._others.changes
+
     def step(self, now: float, msgs: Iterable[object]) -> list:
         """Runs one tick.
 
         Args:
             now: seconds of a clock that doesn't go back.
-            msgs: ``Announced``, ``Leaving``, ``Received``, ``LinkDown``,
-                ``NumberedAccepted``.
+            msgs: ``Announced``, ``Leaving``, ``Received``, ``LinkUp``,
+                ``LinkDown``, ``NumberedAccepted``.
 
         Returns:
             ``Send`` and ``AnnouncementTaken``.
@@ -103,6 +121,7 @@
         self._out = []
         for msg in msgs:
             self._take(msg)
+        self._drive_subscribe()
         if now >= self._sweep_at:
             self._sweep()
         self._push()
@@ -117,15 +136,16 @@
 
     def ready_entries(self) -> list[m.Subscribe]:
         """Returns the entries that callers may be given."""
-        subscribes = (entry.subscribe for entry in self._entries.values())
+        subscribes = (one.subscribe for one in self._subscribers.values())
         return [s for s in subscribes if s.ready]
 
     def gauges(self) -> dict[str, float]:
         """Returns numbers of the moment, for metrics."""
         heard = self._searchers.values()
         states = Counter(one.row.state.value for one in heard)
+        linked = (one.subscribe for one in self._subscribers.values())
         return {
-            "entries_linked": len(self._entries),
+            "entries_linked": sum(bool(s.address) for s in linked),
             "entries_ready": len(self.ready_entries()),
             "acknowledgements_held": len(self._waiting),
             **{f"searchers_{name}": n for name, n in states.items()},
@@ -137,15 +157,29 @@
         kept = tuple(r for r in rows if r.state is not SearcherState.GONE)
         return m.SearcherRows(self._number, True, kept)
 
-    def begin_with(self, rows: Iterable[m.SearcherRow]) -> None:
+    def kept_others(self) -> m.SearcherRows:
+        """Returns what a restart should know of other instances' words."""
+        return m.SearcherRows(self._number, True, self._others.rows())
+
+    def begin_with_others(
+        self, now: float, rows: Iterable[m.SearcherRow]
+    ) -> None:
+        """Takes in other instances' rows that were kept before a restart."""
+        self._others.begin_with(now, rows)
+
+    def begin_with(self, now: float, rows: Iterable[m.SearcherRow]) -> None:
         """Takes in rows that were kept before a restart.
 
         After a kill of everything, searchers announce themselves only within
         an interval; until then no entry would know any. A kept row that isn't
         announced again soon is lost like one that fell silent.
+
+        Args:
+            now: as in ``step``, which may not have run yet.
+            rows: what was kept.
         """
         silent = LOST_AFTER_BEATS - KEPT_BEATS
-        heard_at = self._now - silent * self._timing.announce
+        heard_at = now - silent * self._timing.announce
         for row in rows:
             if row.searcher_id in self._searchers:
                 continue
@@ -153,8 +187,16 @@
             self._by_address.setdefault(row.address, row.searcher_id)
             self._changed.append(row)
 
-    def set_peers(self, addresses: tuple[str, ...]) -> None:
-        """Sets the control instances that entries are told of."""
+    def set_peers(
+        self, addresses: tuple[str, ...], names: frozenset[str] = frozenset()
+    ) -> None:
+        """Sets the control instances that entries are told of.
+
+        Args:
+            addresses: where they are reached.
+            names: what they are called on links.
+        """
+        self._peer_names = names
         if addresses != self._peers:
             self._peers = addresses
             self._peers_changed = True
@@ -169,11 +211,21 @@
             self._take_leaving(msg)
         elif isinstance(msg, Received):
             self._take_received(msg.sender, msg.payload)
+        elif isinstance(msg, m.LinkUp):
+            self._linked.add(msg.name)
         elif isinstance(msg, m.LinkDown):
-            self._entries.pop(msg.name, None)
+            self._linked.discard(msg.name)
+            self._subscribed.discard(msg.name)
+            self._subscribers.pop(msg.name, None)
         elif isinstance(msg, NumberedAccepted):
             self._take_document(msg)
 
+    def _drive_subscribe(self) -> None:
+        """Asks other control instances for their rows, once a link."""
+        for name in (self._peer_names & self._linked) - self._subscribed:
+            self._subscribed.add(name)
+            self._out.append(Send(name, self._me))
+
     def _take_announced(self, msg: m.Announced) -> None:
         row = msg.row
         known = self._searchers.get(row.searcher_id)
@@ -248,12 +300,15 @@
     def _take_received(self, sender: str, payload: object) -> None:
         if isinstance(payload, m.Subscribe):
             self._take_subscribe(sender, payload)
+        elif isinstance(payload, m.SearcherRows):
+            self._others.take(self._now, payload.rows)
+            self._out.append(Send(sender, m.RowsTaken(payload.number)))
         elif isinstance(payload, m.SlowReport):
             self._take_slow(payload)
         elif isinstance(payload, m.RowsTaken):
-            entry = self._entries.get(sender)
-            if entry is not None:
-                entry.taken = max(entry.taken, payload.number)
+            one = self._subscribers.get(sender)
+            if one is not None:
+                one.taken = max(one.taken, payload.number)
         elif (
             isinstance(payload, m.WantNumbered)
             and self._document.number > payload.known_number
@@ -266,18 +321,23 @@
             if avoid_s is None:
                 continue
             told = m.SlowSearchers((searcher_id,), avoid_s)
-            for name in self._entries:
+            for name in self._subscribers:
                 self._out.append(Send(name, told))
 
     def _take_subscribe(self, sender: str, msg: m.Subscribe) -> None:
-        known = self._entries.get(sender)
-        is_new = sender not in self._entries_seen
-        self._entries_seen[sender] = self._now
+        known = self._subscribers.get(sender)
+        is_new = bool(msg.address) and sender not in self._entries_seen
+        if msg.address:
+            self._entries_seen[sender] = self._now
         if known is not None:
             known.subscribe = msg
             return
-        self._entries[sender] = _Entry(msg)
+        self._subscribers[sender] = _Subscriber(msg)
         rows = tuple(heard.row for heard in self._searchers.values())
+        if msg.address:
+            # Others' rows first: where both know a searcher, the entry keeps
+            # the newer row.
+            rows = self._others.rows() + rows
         self._out.append(Send(sender, self._known_peers()))
         self._out.append(Send(sender, m.SearcherRows(self._number, True, rows)))
         self._out.append(Send(sender, m.DocumentNumber(self._document.number)))
@@ -288,12 +348,13 @@
         if msg.number <= self._document.number:
             return
         self._document = m.NumberedDocument(msg.number, msg.packed)
-        for name in self._entries:
+        for name in self._subscribers:
             self._out.append(Send(name, m.DocumentNumber(msg.number)))
 
     def _sweep(self) -> None:
         """Marks searchers lost that went silent, forgets what is long ended."""
         self._sweep_at = self._now + self._timing.announce / 4
+        self._others.sweep(self._now)
         silent = self._now - LOST_AFTER_BEATS * self._timing.announce
         ended = []
         for searcher_id, heard in self._searchers.items():
@@ -309,8 +370,9 @@
             if self._by_address.get(row.address) == searcher_id:
                 del self._by_address[row.address]
         oldest = self._now - ENTRY_SEEN_S
-        for name in self._entries:
-            self._entries_seen[name] = self._now
+        for name, one in self._subscribers.items():
+            if one.subscribe.address:
+                self._entries_seen[name] = self._now
         self._entries_seen = {
             name: seen
             for name, seen in self._entries_seen.items()
@@ -320,19 +382,19 @@
     def _push(self) -> None:
         if self._peers_changed:
             self._peers_changed = False
-            for name in self._entries:
+            for name in self._subscribers:
                 self._out.append(Send(name, self._known_peers()))
         if not self._changed:
             return
         self._number += 1
         rows = m.SearcherRows(self._number, False, tuple(self._changed))
         self._changed = []
-        for name in self._entries:
+        for name in self._subscribers:
             self._out.append(Send(name, rows))
 
     def _release(self) -> None:
         taken = min(
-            (entry.taken for entry in self._entries.values()),
+            (one.taken for one in self._subscribers.values()),
             default=self._number,
         )
         while self._waiting:
--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -47,10 +47,10 @@
 
 @attrs.frozen
 class Subscribe:
-    """An entry says who it is; again at each change of ``ready``.
+    """A process asks for rows; an entry again at each change of ``ready``.
 
     Attributes:
-        address: where callers reach it.
+        address: where callers reach it; '' for a control instance.
     """
 
     name: str
--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -16,7 +16,7 @@
     Send,
 )
 from greengagemoor.feed import messages as m
-from greengagemoor.feed.messages import SearcherState
+from greengagemoor.feed.rows import newer
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -152,7 +152,7 @@
     def _merge(self, row: m.SearcherRow) -> None:
         known = self._rows.get(row.searcher_id)
         if known is not None:
-            row = _newer(known, row)
+            row = newer(known, row)
             if row == known:
                 return
         self._rows[row.searcher_id] = row
@@ -250,15 +250,3 @@
         heard = sum(source.whole for source in self._sources.values())
         waited = self._now - self._confirmed_at
         return bool(heard) and (heard >= known or waited >= SETTLE_S)
-
-
-def _newer(known: m.SearcherRow, row: m.SearcherRow) -> m.SearcherRow:
-    """Returns the row that holds, of two about one start of a searcher."""
-    if SearcherState.GONE in (known.state, row.state):
-        kept = row if row.address and not known.address else known
-        return attrs.evolve(kept, state=SearcherState.GONE)
-    if row.sequence > known.sequence:
-        return row
-    if row.sequence == known.sequence and row.state is SearcherState.LOST:
-        return row
-    return known
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -24,7 +24,7 @@
 from greengagemoor.feed.hub import Timing as HubTiming
 from greengagemoor.routing import routes
 from greengagemoor.serving import dialect as calls
-from greengagemoor.serving.durable import Durable
+from greengagemoor.serving.durable import OTHER_ROWS, OWN_ROWS, Durable
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.ticker import Ticker
 from greengagemoor.shell.clock import Clock
@@ -54,7 +54,7 @@
         self._dialect = dialect
         self._ticker = Ticker(self.clock, self._tick)
         self._links = Links(cfg.instance, cfg.peer_address, self._ticker.put)
-        self._hub = Hub(HubTiming(announce=cfg.announce_s))
+        self._hub = Hub(HubTiming(announce=cfg.announce_s), cfg.instance)
         self._client = ControlClient([cfg.instance], self._rng)
         self._durable = Durable(
             cfg.data_folder, cfg.instance, self._ticker.put_threadsafe
@@ -84,17 +84,23 @@
         self._keeping = asyncio.create_task(self._keep_rows())
 
     async def _keep_rows(self) -> None:
-        kept = self._hub.number
+        hub = self._hub
+        own, others = hub.number, hub.others_number
         while True:
             await asyncio.sleep(KEEP_ROWS_S)
-            if self._hub.number != kept:
-                kept = self._hub.number
-                await self._durable.keep_rows(self._hub.kept_rows())
+            if hub.number != own:
+                own = hub.number
+                await self._durable.keep_rows(OWN_ROWS, hub.kept_rows())
+            if hub.others_number != others:
+                others = hub.others_number
+                await self._durable.keep_rows(OTHER_ROWS, hub.kept_others())
 
     async def _recover(self) -> None:
         """Opens the data folder and starts the member that it belongs to."""
         member_id, recovered = await self._durable.open()
-        self._hub.begin_with(self._durable.kept_rows())
+        now = self.clock.now()
+        self._hub.begin_with(now, self._durable.kept_rows(OWN_ROWS))
+        self._hub.begin_with_others(now, self._durable.kept_rows(OTHER_ROWS))
         peers = {_name(seed): seed for seed in self.cfg.seeds}
         founds = self.cfg.new_group and self.cfg.instance in peers
         peers.pop(self.cfg.instance, None)
@@ -257,7 +263,7 @@
         self._links.want(addresses)
         names = sorted({m.instance for m in state.members.values()})
         self._client.targets = names or [_name(s) for s in self.cfg.seeds]
-        self._hub.set_peers(tuple(sorted(addresses)))
+        self._hub.set_peers(tuple(sorted(addresses)), frozenset(names))
 
     def _tell_beliefs(self) -> None:
         state = self._decider.state
@@ -318,6 +324,7 @@
 
 _HUB_PAYLOADS = (
     feed.Subscribe,
+    feed.SearcherRows,
     feed.RowsTaken,
     feed.SlowReport,
     feed.WantNumbered,
@@ -325,6 +332,7 @@
 _HUB_MESSAGES = (
     feed.Announced,
     feed.Leaving,
+    feed.LinkUp,
     feed.LinkDown,
     control.NumberedAccepted,
 )
--- a/greengagemoor/serving/durable.py
+++ b/greengagemoor/serving/durable.py
@@ -25,7 +25,8 @@
     from greengagemoor.feed.messages import SearcherRow
 
 OPEN_AGAIN_S = 0.5
-ROWS_FILE = "searchers.bin"
+OWN_ROWS = "searchers.bin"
+OTHER_ROWS = "searchers-of-others.bin"
 
 
 class Durable:
@@ -89,22 +90,22 @@
         if self._writer is not None:
             self._writer.write(operation)
 
-    async def keep_rows(self, rows: SearcherRows) -> None:
-        """Replaces the kept rows of searchers; a failure costs only them."""
+    async def keep_rows(self, name: str, rows: SearcherRows) -> None:
+        """Replaces kept rows of searchers; a failure costs only them."""
         if self._folder is None:
             return
         data = codec.encode(rows)
         loop = asyncio.get_running_loop()
         try:
             await loop.run_in_executor(
-                None, self._folder.write_whole, ROWS_FILE, data
+                None, self._folder.write_whole, name, data
             )
         except OSError as exc:
             log.event("rows_not_kept", level="WARNING", reason=exc)
 
-    def kept_rows(self) -> tuple[SearcherRow, ...]:
+    def kept_rows(self, name: str) -> tuple[SearcherRow, ...]:
         """Returns the rows of searchers that were kept, if they are whole."""
-        path = self._path / ROWS_FILE
+        path = self._path / name
         try:
             return codec.decode(path.read_bytes(), SearcherRows).rows
         except FileNotFoundError:
--- a/tests/test_feed/test_hub_and_view.py
+++ b/tests/test_feed/test_hub_and_view.py
@@ -160,11 +160,98 @@
         first.step(m.Announced(1, ROW))
         kept = first.hub.kept_rows()
         bench = HubBench()
-        bench.hub.begin_with(kept.rows)
+        bench.hub.begin_with(bench.now, kept.rows)
         assert set(rows_to(bench.subscribe())) == {ROW}
         (lost,) = rows_to(bench.step(after=3 * ANNOUNCE_S))
         assert lost.state is SearcherState.LOST
 
+    def test_kept_rows_stand_from_the_start_on(self):
+        """Symptom: after a kill of everything a shard had one searcher of
+        three for half a second.
+
+        Sequence: an instance takes in its kept rows before its first tick.
+        Cause: it dated them with the time of the last tick, zero, and called
+        them lost in the first one.
+        """
+        bench = HubBench()
+        bench.now = 1e9
+        bench.hub.begin_with(bench.now, [ROW])
+        bench.hub.begin_with_others(bench.now, [TestOtherInstances.OTHER])
+        assert set(rows_to(bench.subscribe())) == {
+            ROW,
+            TestOtherInstances.OTHER,
+        }
+
+
+class TestOtherInstances:
+    """Control instances know each other's rows, for entries to come.
+
+    Symptom: after a kill of everything most gathers left shards out for a
+    second. Sequence: two of five control instances are back and form a group
+    with a third; entries subscribe and learn of two fifths of the searchers.
+    Cause: an instance kept only what it had heard itself.
+    """
+
+    PEER = m.Subscribe("c2", "", "", ready=False)
+    OTHER = attrs.evolve(ROW, searcher_id="i2", address="10.0.0.2:80")
+
+    def linked(self):
+        bench = HubBench()
+        bench.hub.set_peers(("10.0.0.2:1",), frozenset({"c2"}))
+        bench.step(m.LinkUp("c2"))
+        rows = m.SearcherRows(1, True, (self.OTHER,))
+        self.out = bench.step(Received("c2", rows))
+        bench.step(m.Announced(1, ROW))
+        return bench
+
+    def test_asks_each_linked_instance_once(self):
+        bench = HubBench()
+        bench.hub.set_peers(("10.0.0.2:1",), frozenset({"c2"}))
+        asked = [
+            msg
+            for _ in range(3)
+            for msg in bench.step(m.LinkUp("c2"), m.LinkUp("e1"))
+        ]
+        assert [msg.to for msg in asked] == ["c2"]
+
+    def test_new_entry_gets_all_rows(self):
+        bench = self.linked()
+        assert Send("c2", m.RowsTaken(1)) in self.out
+        assert set(rows_to(bench.subscribe())) == {ROW, self.OTHER}
+
+    def test_other_instances_get_own_rows_only(self):
+        bench = self.linked()
+        out = bench.step(Received("c2", self.PEER))
+        assert rows_to(out, "c2") == [ROW]
+
+    def test_all_rows_are_there_after_a_restart(self):
+        kept = self.linked().hub.kept_others()
+        bench = HubBench()
+        bench.hub.begin_with_others(bench.now, kept.rows)
+        assert rows_to(bench.subscribe()) == [self.OTHER]
+
+    def test_kept_row_that_nobody_tells_again_is_forgotten(self):
+        kept = self.linked().hub.kept_others()
+        bench = HubBench()
+        bench.hub.begin_with_others(bench.now, kept.rows)
+        bench.step(after=4 * ANNOUNCE_S)
+        assert rows_to(bench.subscribe()) == []
+
+    def test_is_no_entry(self):
+        bench = HubBench()
+        bench.step(Received("c2", attrs.evolve(self.PEER, ready=True)))
+        assert bench.subscribe()[0].payload == m.KnownPeers((), 1)
+
+    def test_drain_waits_for_other_instances_too(self):
+        """One that missed it would tell a later entry that it is ready."""
+        bench = HubBench()
+        bench.step(Received("c2", self.PEER))
+        bench.step(m.Announced(1, ROW))
+        bench.step(Received("c2", m.RowsTaken(1)))
+        gone = row(sequence=2, state=SearcherState.DRAINING)
+        assert taken(bench.step(m.Announced(2, gone))) == []
+        assert taken(bench.step(Received("c2", m.RowsTaken(2)))) == [2]
+
 
 class TestDocuments:
     """Entries are told a number and fetch the document once."""
