--- a/tests/test_feed/test_hub_and_view.py
+++ b/tests/test_feed/test_hub_and_view.py
@@ -166,9 +166,10 @@
         assert lost.state is SearcherState.LOST
 
     def test_kept_rows_stand_from_the_start_on(self):
-        """Symptom: after a kill of everything a shard had one searcher of
-        three for half a second.
+        """Rows that were kept are dated with the present time.
 
+        Symptom: after a kill of everything a shard had one searcher of three
+        for half a second.
         Sequence: an instance takes in its kept rows before its first tick.
         Cause: it dated them with the time of the last tick, zero, and called
         them lost in the first one.
