--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -2,32 +2,22 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
 
 from greengagemoor.control.messages import NumberedAccepted, Received, Send
 from greengagemoor.feed import messages as m
+from greengagemoor.feed.heard import FORGET_S, LOST_AFTER_BEATS, HeardRows
 from greengagemoor.feed.messages import SearcherState
 from greengagemoor.feed.rows import OtherRows
 from greengagemoor.feed.slowness import SlowTable
+from greengagemoor.feed.subscribers import Subscribers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-HOLD_S = 0.6
-"""Longest wait of an acknowledgement for the entries; callers wait 1 s."""
-FORGET_S = 120.0
-"""How long an ended searcher's id is kept, so that late words of it, held up
-by a cut, don't bring it back."""
-ENTRY_SEEN_S = 600.0
-"""How long an entry counts for connection shares after it was last heard."""
-LOST_AFTER_BEATS = 2.6
-KEPT_BEATS = 1.8
-"""How long a row that was kept over a restart waits for its searcher."""
-JUMP_BEATS = 1.6
-
 
 @attrs.frozen
 class Timing:
@@ -40,25 +30,6 @@
     announce: float
 
 
-@attrs.define
-class _Heard:
-    row: m.SearcherRow
-    heard_at: float
-
-
-@attrs.define
-class _Subscriber:
-    subscribe: m.Subscribe
-    taken: int = 0
-
-
-@attrs.frozen
-class _Waiting:
-    token: object
-    number: int
-    until: float
-
-
 class Hub:
     """What this control instance heard itself; it repeats no other's words.
 
@@ -77,12 +48,8 @@
         """
         self._timing = timing
         self._me = m.Subscribe(name, "", "", ready=False)
-        self._searchers: dict[str, _Heard] = {}
-        self._by_address: dict[str, str] = {}
-        self._subscribers: dict[str, _Subscriber] = {}
-        self._entries_seen: dict[str, float] = {}
-        self._waiting: deque[_Waiting] = deque()
-        self._changed: list[m.SearcherRow] = []
+        self._heard = HeardRows(timing.announce)
+        self._subscribers = Subscribers()
         self._number = 0
         self._document = m.NumberedDocument(0, b"")
         self._peers: tuple[str, ...] = ()
@@ -130,30 +97,28 @@
 
     def next_wake(self) -> float:
         """Returns when a tick is due although no message came."""
-        if self._waiting:
-            return min(self._sweep_at, self._waiting[0].until)
-        return self._sweep_at
+        release = self._subscribers.next_release
+        return (
+            self._sweep_at if release is None else min(self._sweep_at, release)
+        )
 
     def ready_entries(self) -> list[m.Subscribe]:
         """Returns the entries that callers may be given."""
-        subscribes = (one.subscribe for one in self._subscribers.values())
-        return [s for s in subscribes if s.ready]
+        return [one for one in self._subscribers.entries() if one.ready]
 
     def gauges(self) -> dict[str, float]:
         """Returns numbers of the moment, for metrics."""
-        heard = self._searchers.values()
-        states = Counter(one.row.state.value for one in heard)
-        linked = (one.subscribe for one in self._subscribers.values())
+        states = Counter(row.state.value for row in self._heard.rows())
         return {
-            "entries_linked": sum(bool(s.address) for s in linked),
+            "entries_linked": len(self._subscribers.entries()),
             "entries_ready": len(self.ready_entries()),
-            "acknowledgements_held": len(self._waiting),
+            "acknowledgements_held": self._subscribers.held,
             **{f"searchers_{name}": n for name, n in states.items()},
         }
 
     def kept_rows(self) -> m.SearcherRows:
         """Returns what a restart of this instance should begin with."""
-        rows = (heard.row for heard in self._searchers.values())
+        rows = self._heard.rows()
         kept = tuple(r for r in rows if r.state is not SearcherState.GONE)
         return m.SearcherRows(self._number, True, kept)
 
@@ -170,22 +135,11 @@
     def begin_with(self, now: float, rows: Iterable[m.SearcherRow]) -> None:
         """Takes in rows that were kept before a restart.
 
-        After a kill of everything, searchers announce themselves only within
-        an interval; until then no entry would know any. A kept row that isn't
-        announced again soon is lost like one that fell silent.
-
         Args:
             now: as in ``step``, which may not have run yet.
             rows: what was kept.
         """
-        silent = LOST_AFTER_BEATS - KEPT_BEATS
-        heard_at = now - silent * self._timing.announce
-        for row in rows:
-            if row.searcher_id in self._searchers:
-                continue
-            self._searchers[row.searcher_id] = _Heard(row, heard_at)
-            self._by_address.setdefault(row.address, row.searcher_id)
-            self._changed.append(row)
+        self._heard.begin_with(now, rows)
 
     def set_peers(
         self, addresses: tuple[str, ...], names: frozenset[str] = frozenset()
@@ -202,7 +156,7 @@
             self._peers_changed = True
 
     def _known_peers(self) -> m.KnownPeers:
-        return m.KnownPeers(self._peers, len(self._entries_seen))
+        return m.KnownPeers(self._peers, self._subscribers.entries_seen)
 
     def _take(self, msg: object) -> None:
         if isinstance(msg, m.Announced):
@@ -216,7 +170,7 @@
         elif isinstance(msg, m.LinkDown):
             self._linked.discard(msg.name)
             self._subscribed.discard(msg.name)
-            self._subscribers.pop(msg.name, None)
+            self._subscribers.drop(msg.name)
         elif isinstance(msg, NumberedAccepted):
             self._take_document(msg)
 
@@ -227,75 +181,18 @@
             self._out.append(Send(name, self._me))
 
     def _take_announced(self, msg: m.Announced) -> None:
-        row = msg.row
-        known = self._searchers.get(row.searcher_id)
-        if self._is_late(row, known):
-            self._out.append(m.AnnouncementTaken(msg.token))
-            return
-        self._displace(row)
-        self._searchers[row.searcher_id] = _Heard(row, self._now)
-        if known is not None and not self._is_news(known, row):
+        if self._heard.announce(self._now, msg.row):
+            self._hold(msg.token)
+        else:
             self._out.append(m.AnnouncementTaken(msg.token))
-            return
-        self._changed.append(row)
-        self._hold(msg.token)
-
-    def _is_late(self, row: m.SearcherRow, known: _Heard | None) -> bool:
-        if known is None:
-            return False
-        # A start that ended, or whose address another start has taken over,
-        # can only be heard of by words that were held up on their way.
-        if known.row.state is SearcherState.GONE:
-            return True
-        return row.sequence <= known.row.sequence
-
-    def _displace(self, row: m.SearcherRow) -> None:
-        """Ends the start that had this address before."""
-        previous = self._by_address.get(row.address)
-        if previous == row.searcher_id:
-            return
-        self._by_address[row.address] = row.searcher_id
-        heard = self._searchers.get(previous) if previous else None
-        if heard is not None:
-            self._set_state(heard, SearcherState.GONE)
-
-    def _is_news(self, known: _Heard, row: m.SearcherRow) -> bool:
-        if known.row.state is not row.state:
-            return True
-        if known.row.address != row.address:
-            return True
-        # After a gap, another control instance may have told entries that the
-        # searcher is lost, under a sequence above the one told from here.
-        gap = self._now - known.heard_at
-        return gap > JUMP_BEATS * self._timing.announce
 
     def _take_leaving(self, msg: m.Leaving) -> None:
-        heard = self._searchers.get(msg.searcher_id)
-        if heard is None:
-            # Heard elsewhere so far; entries know its address from there.
-            row = m.SearcherRow(
-                msg.searcher_id, "", "", "", SearcherState.GONE, 0, 0, 0.0
-            )
-            heard = _Heard(row, self._now)
-            self._searchers[msg.searcher_id] = heard
-            self._changed.append(row)
-        elif heard.row.state is not SearcherState.GONE:
-            self._set_state(heard, SearcherState.GONE)
+        self._heard.leave(self._now, msg.searcher_id)
         self._hold(msg.token)
 
-    def _set_state(self, heard: _Heard, state: SearcherState) -> None:
-        heard.row = attrs.evolve(heard.row, state=state)
-        self._changed.append(heard.row)
-
     def _hold(self, token: object) -> None:
-        """Acknowledges once every entry that is linked has taken the change.
-
-        A searcher that drains stops serving some seconds after the
-        acknowledgement. If that outran the change, entries would go on
-        sending to it.
-        """
-        number = self._number + 1
-        self._waiting.append(_Waiting(token, number, self._now + HOLD_S))
+        """Acknowledges once all that are linked have taken the change."""
+        self._subscribers.hold(self._now, token, self._number + 1)
 
     def _take_received(self, sender: str, payload: object) -> None:
         if isinstance(payload, m.Subscribe):
@@ -306,9 +203,7 @@
         elif isinstance(payload, m.SlowReport):
             self._take_slow(payload)
         elif isinstance(payload, m.RowsTaken):
-            one = self._subscribers.get(sender)
-            if one is not None:
-                one.taken = max(one.taken, payload.number)
+            self._subscribers.note_taken(sender, payload.number)
         elif (
             isinstance(payload, m.WantNumbered)
             and self._document.number > payload.known_number
@@ -325,15 +220,12 @@
                 self._out.append(Send(name, told))
 
     def _take_subscribe(self, sender: str, msg: m.Subscribe) -> None:
-        known = self._subscribers.get(sender)
-        is_new = bool(msg.address) and sender not in self._entries_seen
-        if msg.address:
-            self._entries_seen[sender] = self._now
-        if known is not None:
-            known.subscribe = msg
+        seen = self._subscribers.entries_seen
+        if not self._subscribers.put(self._now, sender, msg):
             return
-        self._subscribers[sender] = _Subscriber(msg)
-        rows = tuple(heard.row for heard in self._searchers.values())
+        if self._subscribers.entries_seen != seen:
+            self._peers_changed = True
+        rows = self._heard.rows()
         if msg.address:
             # Others' rows first: where both know a searcher, the entry keeps
             # the newer row.
@@ -341,8 +233,6 @@
         self._out.append(Send(sender, self._known_peers()))
         self._out.append(Send(sender, m.SearcherRows(self._number, True, rows)))
         self._out.append(Send(sender, m.DocumentNumber(self._document.number)))
-        if is_new:
-            self._peers_changed = True
 
     def _take_document(self, msg: NumberedAccepted) -> None:
         if msg.number <= self._document.number:
@@ -355,51 +245,24 @@
         """Marks searchers lost that went silent, forgets what is long ended."""
         self._sweep_at = self._now + self._timing.announce / 4
         self._others.sweep(self._now)
-        silent = self._now - LOST_AFTER_BEATS * self._timing.announce
-        ended = []
-        for searcher_id, heard in self._searchers.items():
-            if heard.heard_at > silent:
-                continue
-            if heard.row.state is SearcherState.READY:
-                self._set_state(heard, SearcherState.LOST)
-            elif heard.heard_at < self._now - FORGET_S:
-                ended.append(searcher_id)
-        for searcher_id in ended:
+        for searcher_id in self._heard.sweep(self._now):
             self._slow.forget(searcher_id)
-            row = self._searchers.pop(searcher_id).row
-            if self._by_address.get(row.address) == searcher_id:
-                del self._by_address[row.address]
-        oldest = self._now - ENTRY_SEEN_S
-        for name, one in self._subscribers.items():
-            if one.subscribe.address:
-                self._entries_seen[name] = self._now
-        self._entries_seen = {
-            name: seen
-            for name, seen in self._entries_seen.items()
-            if seen > oldest
-        }
+        self._subscribers.sweep(self._now)
 
     def _push(self) -> None:
         if self._peers_changed:
             self._peers_changed = False
             for name in self._subscribers:
                 self._out.append(Send(name, self._known_peers()))
-        if not self._changed:
+        changed = tuple(self._heard.changed)
+        if not changed:
             return
         self._number += 1
-        rows = m.SearcherRows(self._number, False, tuple(self._changed))
-        self._changed = []
+        rows = m.SearcherRows(self._number, False, changed)
+        self._heard.changed.clear()
         for name in self._subscribers:
             self._out.append(Send(name, rows))
 
     def _release(self) -> None:
-        taken = min(
-            (one.taken for one in self._subscribers.values()),
-            default=self._number,
-        )
-        while self._waiting:
-            first = self._waiting[0]
-            if first.number > taken and self._now < first.until:
-                return
-            self._waiting.popleft()
-            self._out.append(m.AnnouncementTaken(first.token))
+        tokens = self._subscribers.release(self._now, self._number)
+        self._out += [m.AnnouncementTaken(token) for token in tokens]
--- a/tests/test_feed/test_hub_and_view.py
+++ b/tests/test_feed/test_hub_and_view.py
@@ -14,8 +14,9 @@
     Send,
 )
 from greengagemoor.feed import messages as m
-from greengagemoor.feed.hub import HOLD_S, Hub, Timing
+from greengagemoor.feed.hub import Hub, Timing
 from greengagemoor.feed.messages import SearcherState
+from greengagemoor.feed.subscribers import HOLD_S
 from greengagemoor.feed.view import View
 
 ANNOUNCE_S = 1.0
