--- a/greengagemoor/aio/server.py
+++ b/greengagemoor/aio/server.py
@@ -14,6 +14,7 @@
 from greengagemoor.aio import sockets
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterable
 
 HEADER_BYTES = 16_384
@@ -339,19 +340,20 @@
         self._handler = handler
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> None:
+    async def start(self, sock: socket.socket | None = None) -> None:
         """Listens.
 
+        Args:
+            sock: listens on the address already; None if nothing does.
+
         Raises:
             OSError: the address can't be listened on.
         """
-        host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: HttpConnection(self._handler, self.limits, self.conns),
-            host,
-            int(port),
-            backlog=1024,
+            sock=sock or sockets.listen(self._address),
+            backlog=sockets.BACKLOG,
         )
         log.event("listening", address=self._address)
 
--- a/greengagemoor/aio/sockets.py
+++ b/greengagemoor/aio/sockets.py
@@ -11,6 +11,34 @@
 PROBE_IDLE_S = 2
 PROBE_INTERVAL_S = 1
 PROBES = 3
+BACKLOG = 1024
+"""Connections that may wait to be accepted: ten seconds of a calm rate."""
+
+
+def listen(address: str) -> socket.socket:
+    """Listens at once, also before anything here can accept.
+
+    After a kill of everything a caller's connection is refused until some
+    process listens, and callers give up after two refusals. From here on it
+    waits in the system's queue instead, until the process can tell when to
+    come back.
+
+    Args:
+        address: ip and port.
+
+    Raises:
+        OSError: the address can't be listened on.
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, int(port)))
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
 
 
 def tune(transport) -> None:
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -36,6 +36,8 @@
 from greengagemoor.shell.clock import Clock
 
 if TYPE_CHECKING:
+    import socket
+
     from greengagemoor.aio.server import HttpRequest
     from greengagemoor.serving.dialect import Dialect, Reply
     from greengagemoor.serving.settings import ServingSettings
@@ -52,8 +54,21 @@
 class EntryApp:
     """Wires the parts of one entry."""
 
-    def __init__(self, cfg: ServingSettings, dialect: Dialect):
+    def __init__(
+        self,
+        cfg: ServingSettings,
+        dialect: Dialect,
+        listener: socket.socket | None = None,
+    ):
+        """Prepares; ``start`` serves.
+
+        Args:
+            cfg: settings.
+            dialect: how callers and searchers speak.
+            listener: listens on the callers' address already.
+        """
         self.cfg = cfg
+        self._listener = listener
         self.clock = Clock()
         rng = random.Random(cfg.seed or hash(cfg.instance))
         policy = Policy(
@@ -94,7 +109,7 @@
         self._links.want(set(self.cfg.seeds))
         for server in self._servers:
             await server.start()
-        await self._callers.start()
+        await self._callers.start(self._listener)
         self._ticker.tick()
         asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
--- a/tests/test_aio/test_server.py
+++ b/tests/test_aio/test_server.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from greengagemoor.aio import sockets
 from greengagemoor.aio.server import HttpServer, Limits
 from tests.test_aio.helpers import read_head, run
 
@@ -215,3 +216,29 @@
                 return await reader.read()
 
         assert run(main()).endswith(b"whole")
+
+
+class TestEarlyListener:
+    """A process listens before it can accept."""
+
+    def test_caller_that_came_early_is_answered(self):
+        """Symptom: callers failed in the second after a kill of everything.
+
+        Sequence: all processes are killed; a caller connects to one that is
+        starting, is refused, tries the next and is refused again. Cause: a
+        process listened only at the end of its start.
+        """
+
+        async def main():
+            sock = sockets.listen("127.0.0.1:0")
+            host, port = sock.getsockname()
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            handler = Recorder()
+            server = HttpServer(f"{host}:{port}", handler, Limits())
+            await server.start(sock)
+            line = await reader.readline()
+            writer.close()
+            return line
+
+        assert run(main()).startswith(b"HTTP/1.1 200")
