--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -27,11 +27,6 @@
 """Least time between two reads, when there is reason to ask before
 ``READ_AGAIN_S`` is over."""
 REPORT_EVERY_S = 0.1
-TYPICAL_START_S = 0.4
-"""From the first tick of an entry to its first document, when the control group
-starts at the same moment: 0.23 to 0.4 s in five kills of everything."""
-LEAST_RETRY_S = 0.1
-NO_DOCUMENT_RETRY_S = 0.3
 SETTLE_S = 0.4
 """How long a starting entry waits for control instances that don't answer,
 after one has confirmed the document."""
@@ -78,7 +73,6 @@
         self._slow_seen: set[str] = set()
         self._report_at = 0.0
         self._read_at = 0.0
-        self._began_at: float | None = None
         self._op_ids = count(1)
         self._now = 0.0
         self._out: list = []
@@ -96,8 +90,6 @@
         """
         self._now = now
         self._out = []
-        if self._began_at is None:
-            self._began_at = now
         for msg in msgs:
             self._take(msg)
         self._drive_report()
@@ -122,17 +114,6 @@
             0 < self.number >= self._confirmed
         )
 
-    def retry_after_s(self, now: float) -> float:
-        """Tells how long a caller should wait that came before the document.
-
-        After a kill of everything callers come back once. One that comes back
-        before the document is here is lost.
-        """
-        age = 0.0 if self._began_at is None else now - self._began_at
-        if age >= TYPICAL_START_S:
-            return NO_DOCUMENT_RETRY_S
-        return max(LEAST_RETRY_S, TYPICAL_START_S - age)
-
     def leave(self) -> None:
         """Takes this entry out of what callers are given."""
         self.leaving = True
--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -141,9 +141,9 @@
             return Reply(503, _retry_after(msg.retry_after_s))
         return Reply(OWN_STATUS[msg.ending])
 
-    def write_no_document(self, retry_after_s: float) -> Reply:
+    def write_no_document(self) -> Reply:
         """Not run: this entry knows no document yet."""
-        return Reply(503, _retry_after(retry_after_s))
+        return Reply(503, _retry_after(0.3))
 
     def write_no_route(self) -> Reply:
         """No route allows the request."""
--- a/greengagemoor/serving/dialect.py
+++ b/greengagemoor/serving/dialect.py
@@ -107,7 +107,7 @@
     def write_answer(self, msg: Respond) -> Reply:
         """Returns the final answer to a caller."""
 
-    def write_no_document(self, retry_after_s: float) -> Reply:
+    def write_no_document(self) -> Reply:
         """Answers a request that came before any document."""
 
     def write_no_route(self) -> Reply:
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -143,8 +143,7 @@
     def take(self, req: HttpRequest) -> None:
         """Takes a caller's request."""
         if self._table is None or not self._view.is_confirmed:
-            wait = self._view.retry_after_s(self.clock.now())
-            self._reply(req, self._dialect.write_no_document(wait))
+            self._reply(req, self._dialect.write_no_document())
             return
         words = self._dialect.read_request(req)
         route = self._table.find(words.host, req.path)
