Each entry gets callers: the directory starts elsewhere each time

An answer names 64 addresses at most, and they were the same first 64 of 78: 14 entries of app grown got no caller, and the others' links of 7 Mbit/s carried a fifth more. Found by reading.

--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -60,6 +60,7 @@
         self._others = OtherRows(LOST_AFTER_BEATS * timing.announce, FORGET_S)
         self._slow = SlowTable()
         self._sweep_at = 0.0
+        self._turn = 0
         self._now = 0.0
         self._out: list = []
 
@@ -102,8 +103,19 @@
             self._sweep_at if release is None else min(self._sweep_at, release)
         )
 
-    def ready_entries(self) -> list[m.Subscribe]:
-        """Returns the entries that callers may be given."""
+    def entries_for_caller(self) -> list[m.Subscribe]:
+        """Returns the entries that a caller may be given.
+
+        Each time another one comes first: an answer may name a part only, and
+        14 of 78 entries would otherwise never get a caller.
+        """
+        entries = self._ready_entries()
+        if not entries:
+            return []
+        self._turn = (self._turn + 1) % len(entries)
+        return entries[self._turn :] + entries[: self._turn]
+
+    def _ready_entries(self) -> list[m.Subscribe]:
         return [one for one in self._subscribers.entries() if one.ready]
 
     def gauges(self) -> dict[str, float]:
@@ -111,7 +123,7 @@
         states = Counter(row.state.value for row in self._heard.rows())
         return {
             "entries_linked": len(self._subscribers.entries()),
-            "entries_ready": len(self.ready_entries()),
+            "entries_ready": len(self._ready_entries()),
             "acknowledgements_held": self._subscribers.held,
             **{f"searchers_{name}": n for name, n in states.items()},
         }
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -145,7 +145,7 @@
         elif isinstance(call, calls.ReadCall):
             self._ask(req, control.OpKind.READ_NUMBERED)
         elif isinstance(call, calls.FindEntriesCall):
-            entries = self._hub.ready_entries()
+            entries = self._hub.entries_for_caller()
             self._reply(req, self._dialect.write_entries(entries))
         else:
             self._reply(req, self._dialect.write_unknown_call())
--- a/tests/test_feed/test_hub_and_view.py
+++ b/tests/test_feed/test_hub_and_view.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import attrs
 import pytest
 
@@ -255,6 +257,30 @@
         assert taken(bench.step(Received("c2", m.RowsTaken(2)))) == [2]
 
 
+class TestDirectory:
+    """Entries that callers are given."""
+
+    def test_all_entries_get_callers(self):
+        """An answer names 64 addresses at most.
+
+        Symptom: 14 of 78 entries got no caller. Cause: each answer named the
+        same first 64.
+        """
+        bench = HubBench()
+        for i in range(78):
+            bench.subscribe(f"e{i}")
+        named = Counter()
+        for _ in range(78):
+            entries = bench.hub.entries_for_caller()
+            named.update(entry.name for entry in entries[:64])
+        assert set(named.values()) == {64}
+
+    def test_entry_that_is_not_ready_is_left_out(self):
+        bench = HubBench()
+        bench.step(Received("e1", attrs.evolve(ENTRY, ready=False)))
+        assert bench.hub.entries_for_caller() == []
+
+
 class TestDocuments:
     """Entries are told a number and fetch the document once."""
 
