--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m bench.policies
+	$(BIN)/python -m bench.gathers
 
 slopes: $(STAMP)
 	$(BIN)/python -m bench.slopes
