--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -31,7 +31,7 @@
 
 
 class Hub:
-    """What this control instance heard itself; it repeats no other's words.
+    """Pushes what this control instance heard itself.
 
     Each entry subscribes at every control instance, so a change crosses each
     link once, and no two control instances need to agree on a searcher: the
--- a/greengagemoor/forward/budget.py
+++ b/greengagemoor/forward/budget.py
@@ -30,9 +30,9 @@
     see load double in a brown-out. The allowance is a share of the requests
     seen here and a part of a fixed slack, so the sum over all entries keeps
     to the whole however many there are and however traffic moves between
-    them. A bucket with a burst would have to count the burst on top of a
-    window's refill, and could use a third of the slack only: at 78 entries
-    109 second sends a window and service in place of 320.
+    them. A bucket would have to count its burst on top of a window's refill,
+    so most of the slack would lie idle: at 78 entries and 64 requests a second
+    it allows 109 second sends a window and service, this 275.
 
     Attributes:
         ratio: second sends for each request.
--- a/tests/test_forward/test_load.py
+++ b/tests/test_forward/test_load.py
@@ -5,7 +5,8 @@
 import attrs
 import pytest
 
-from bench.gathers import SHEETS, Run
+from bench.gather_model import SHEETS
+from bench.gathers import Run
 from greengagemoor.forward import choosing, timing
 
 SECONDS = 16.0
