A member with several uncommitted entries finds its way back to the log

Cause: a leader that is cut off appends several changes; another is elected and commits as many. After the cut each append is refused: the refusal took the next entry back by one, but every send had moved it on to the end of the log, so two entries back was never reached. Leader and member exchanged the same entries at each round trip, and the member stayed behind for good, one loss fewer to bear.

Now a refusal says how far the logs may agree: before all entries of the term that differs, at least what is committed. The new test failed before (the member stayed at version 0) and passes.

Ruled out: the feed (links were quiet between entries), subscriptions.

--- a/greengagemoor/control/messages.py
+++ b/greengagemoor/control/messages.py
@@ -68,8 +68,9 @@
     """Answers an ``AppendRequest`` after its entries are synced.
 
     Attributes:
-        match_index: highest index known equal to the leader's, if ``ok``.
-        last_index: the follower's last index, to find a common one faster.
+        match_index: highest index known equal to the leader's, if ``ok``;
+            otherwise the highest that may be.
+        last_index: the follower's last index.
     """
 
     group: str
--- a/greengagemoor/control/replication.py
+++ b/greengagemoor/control/replication.py
@@ -80,7 +80,8 @@
         return
     _follow(state, msg)
     if not _matches(state, msg.prev_index, msg.prev_term):
-        _reply(state, msg, ok=False, match_index=0)
+        agreed = _agreed_before(state, msg.prev_index)
+        _reply(state, msg, ok=False, match_index=agreed)
         return
     new = state.log.merge(msg.entries)
     if new:
@@ -108,6 +109,19 @@
     return state.log.term_at(index) == term
 
 
+def _agreed_before(state: State, index: int) -> int:
+    """Returns how far this log may agree with one that differs at an index.
+
+    Goes back over all entries of the term that differs, as a member that led
+    while it was cut off holds many; what is committed agrees for certain.
+    """
+    term = state.log.term_at(index)
+    agreed = min(index - 1, state.log.last_index)
+    while agreed > state.commit and state.log.term_at(agreed) == term:
+        agreed -= 1
+    return max(agreed, state.commit)
+
+
 def _reply(
     state: State,
     msg: AppendRequest | InstallSnapshot,
@@ -168,10 +182,10 @@
     progress.answered = True
     progress.acked_round = max(progress.acked_round, msg.round)
     if not msg.ok:
-        progress.next_index = max(
-            progress.match_index + 1,
-            min(progress.next_index - 1, msg.last_index + 1),
-        )
+        # Not one less than what was sent last: that moves on with each send,
+        # and the two would exchange the same entries for ever.
+        agreed = max(progress.match_index, msg.match_index)
+        progress.next_index = min(progress.next_index, agreed + 1)
         state.broadcast_due = True
         return
     progress.match_index = max(progress.match_index, msg.match_index)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 
 import heapq
 import random
+from collections import Counter
 from itertools import count
 
 import attrs
@@ -128,6 +129,7 @@
         self.out: list[tuple[float, str, object]] = []
         self.attempts: list[tuple[str, q.StartAttempt]] = []
         self.searchers: dict[str, object] = {}
+        self.sent: Counter = Counter()
         self._events: list[tuple[float, int, str, int, object]] = []
         self._ids = count()
         self._lives: dict[str, int] = {}
@@ -287,6 +289,7 @@
         return Persisted(msg.operation.op)
 
     def _carry(self, name: str, msg: Send) -> None:
+        self.sent[type(msg.payload)] += 1
         copies = 1 + (self.rng.random() < self.double_share)
         for _ in range(copies):
             delay = NETWORK_S + self.jitter * self.rng.random()
--- a/tests/test_control/test_repair.py
+++ b/tests/test_control/test_repair.py
@@ -4,7 +4,7 @@
 
 from greengagemoor.codes import Code
 from greengagemoor.control import replication
-from greengagemoor.control.messages import InstallSnapshot
+from greengagemoor.control.messages import AppendRequest, InstallSnapshot
 from tests.test_control.helpers import (
     is_whole,
     others,
@@ -42,6 +42,35 @@
         assert fleet.nodes[leader].control.state.term == term
 
 
+class TestDivergence:
+    """A member whose log ends in entries that were never committed."""
+
+    def test_many_uncommitted_entries_are_replaced(self, fleet, operator):
+        """Two instances sent each other the same entries for ever.
+
+        Symptom: 0.66 GB between data centres in a minute, and one instance
+        behind for good. Sequence: a leader is cut off and appends several
+        changes; the others elect another and commit as many; the cut heals.
+        Cause: each refusal took one entry back, and the send after it put
+        that entry forward again, so the entry before it was never reached.
+        """
+        old = fleet.leader()
+        fleet.cut_off(old)
+        for i in range(5):
+            operator.apply(old, f"lost-{i}", 0, 50 + i)
+        fleet.run_until(lambda: fleet.leader() not in ("", old))
+        new = fleet.leader()
+        for i in range(5):
+            operator.accept(new, f"kept-{i}", i, i + 1)
+        fleet.heal()
+        fleet.sent.clear()
+        fleet.run(3.0)
+        assert set(versions(fleet).values()) == {5}
+        appends = fleet.sent[AppendRequest]
+        heartbeats = 3.0 / fleet.nodes[new].control.state.timing.heartbeat
+        assert appends <= 2 * (heartbeats + 10)
+
+
 class TestRepair:
     """A member without its disk is a new member until it is whole again."""
 
