A searcher that starts again under its id serves at once; words of other writers

Cause: announcements were ordered by their count alone. Now (start, count) is the order in the table of announcements, kept rows, rows between control instances, the view, leaving, reports of slowness and the wire. A new start begins with a clean record; what runs at the old one has ended unknown: repeatable sends go again, others get their final answer.

Found on the way: the table of addresses kept an address for a searcher that had moved, so that the next one there ended it; an announcement with a list for an address failed the whole tick with all that came in it; the states gone and lost, our own words, were taken from outside; a number too large for our messages likewise. An announcement of a service that no document names no longer ends the one that has had its address.

Ruled out: a leave without a start counts for an unknown one (it ends the newest start known, as a leave that is overlooked breaks a rule and one that is believed costs one searcher).

--- a/greengagemoor/feed/heard.py
+++ b/greengagemoor/feed/heard.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from greengagemoor.feed.messages import SearcherKey
+
 FORGET_S = 120.0
 """How long an ended searcher's id is kept, so that late words of it, held up
 by a cut, don't bring it back."""
@@ -60,12 +62,25 @@
             self._by_address.setdefault(row.address, row.searcher_id)
             self.changed.append(row)
 
-    def announce(self, now: float, row: SearcherRow) -> bool:
-        """Takes in an announcement; returns whether it is news to others."""
+    def announce(
+        self, now: float, row: SearcherRow, *, displaces: bool = True
+    ) -> bool:
+        """Takes in an announcement.
+
+        Args:
+            now: seconds.
+            row: what the searcher says.
+            displaces: whether it ends another searcher that has its address.
+
+        Returns:
+            Whether it is news to others.
+        """
         known = self._heard.get(row.searcher_id)
         if self._is_late(row, known):
             return False
-        self._displace(row)
+        if known is not None and known.row.address != row.address:
+            self._free(known.row)
+        self._settle(row, displaces=displaces)
         self._heard[row.searcher_id] = _Heard(row, now)
         if known is not None and not self._is_news(now, known, row):
             return False
@@ -75,24 +90,38 @@
     def _is_late(self, row: SearcherRow, known: _Heard | None) -> bool:
         if known is None:
             return False
+        if row.start != known.row.start:
+            return row.start < known.row.start
         # A start that ended, or whose address another start has taken over,
         # can only be heard of by words that were held up on their way.
         if known.row.state is SearcherState.GONE:
             return True
         return row.sequence <= known.row.sequence
 
-    def _displace(self, row: SearcherRow) -> None:
-        """Ends the start that had this address before."""
+    def _free(self, row: SearcherRow) -> None:
+        """Lets go of an address that a searcher no longer has.
+
+        The next one there would otherwise end this searcher, which serves
+        elsewhere.
+        """
+        if self._by_address.get(row.address) == row.searcher_id:
+            del self._by_address[row.address]
+
+    def _settle(self, row: SearcherRow, *, displaces: bool) -> None:
+        """Notes who has the address; ends the start that had it before."""
         previous = self._by_address.get(row.address)
         if previous == row.searcher_id:
             return
-        self._by_address[row.address] = row.searcher_id
         heard = self._heard.get(previous) if previous else None
-        if heard is not None:
+        lives = heard is not None and heard.row.state is not SearcherState.GONE
+        if lives and not displaces:
+            return
+        self._by_address[row.address] = row.searcher_id
+        if lives:
             self._set_state(heard, SearcherState.GONE)
 
     def _is_news(self, now: float, known: _Heard, row: SearcherRow) -> bool:
-        if known.row.state is not row.state:
+        if known.row.state is not row.state or known.row.start != row.start:
             return True
         if known.row.address != row.address:
             return True
@@ -101,43 +130,57 @@
         gap = now - known.heard_at
         return gap > JUMP_BEATS * self._announce_s
 
-    def leave(self, now: float, searcher_id: str) -> None:
-        """Takes in that a searcher ends."""
-        heard = self._heard.get(searcher_id)
-        if heard is None:
+    def leave(self, now: float, key: SearcherKey) -> None:
+        """Takes in that a start of a searcher ends."""
+        heard = self._heard.get(key.searcher_id)
+        if heard is None or heard.row.start < key.start:
             # Heard elsewhere so far; entries know its address from there.
             row = SearcherRow(
-                searcher_id, "", "", "", SearcherState.GONE, 0, 0, 0.0
+                key.searcher_id,
+                service="",
+                address="",
+                data_centre="",
+                state=SearcherState.GONE,
+                sequence=0,
+                slots=0,
+                cold_left_s=0.0,
+                start=key.start,
             )
-            self._heard[searcher_id] = _Heard(row, now)
+            if heard is not None:
+                self._free(heard.row)
+            self._heard[key.searcher_id] = _Heard(row, now)
             self.changed.append(row)
-        elif heard.row.state is not SearcherState.GONE:
+        elif (
+            heard.row.start == key.start
+            and heard.row.state is not SearcherState.GONE
+        ):
             self._set_state(heard, SearcherState.GONE)
 
+    def start_of(self, searcher_id: str) -> int | None:
+        """Returns the newest start that was heard of; None if none was."""
+        heard = self._heard.get(searcher_id)
+        return heard.row.start if heard is not None else None
+
     def _set_state(self, heard: _Heard, state: SearcherState) -> None:
         heard.row = attrs.evolve(heard.row, state=state)
         self.changed.append(heard.row)
 
-    def sweep(self, now: float) -> list[str]:
+    def sweep(self, now: float) -> list[SearcherKey]:
         """Marks searchers lost that went silent.
 
         Returns:
-            The ids of searchers that ended long ago; they are forgotten.
+            The starts that ended long ago; they are forgotten.
         """
         silent = now - LOST_AFTER_BEATS * self._announce_s
         ended = []
-        for searcher_id, heard in self._heard.items():
+        for heard in self._heard.values():
             if heard.heard_at > silent:
                 continue
             if heard.row.state is SearcherState.READY:
                 self._set_state(heard, SearcherState.LOST)
             elif heard.heard_at < now - FORGET_S:
-                ended.append(searcher_id)
-        for searcher_id in ended:
-            self._forget(searcher_id)
-        return ended
-
-    def _forget(self, searcher_id: str) -> None:
-        row = self._heard.pop(searcher_id).row
-        if self._by_address.get(row.address) == searcher_id:
-            del self._by_address[row.address]
+                ended.append(heard.row)
+        for row in ended:
+            del self._heard[row.searcher_id]
+            self._free(row)
+        return [row.key for row in ended]
--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -59,6 +59,7 @@
         self._subscribed: set[str] = set()
         self._others = OtherRows(LOST_AFTER_BEATS * timing.announce, FORGET_S)
         self._slow = SlowTable()
+        self._services: frozenset[str] | None = None
         self._sweep_at = 0.0
         self._turn = 0
         self._now = 0.0
@@ -167,6 +168,14 @@
             self._peers = addresses
             self._peers_changed = True
 
+    def set_services(self, names: frozenset[str]) -> None:
+        """Sets the services that the document in force names.
+
+        An announcement may come from another writer. Only one for a service
+        that is named ends the searcher that has had its address.
+        """
+        self._services = names
+
     def _known_peers(self) -> m.KnownPeers:
         return m.KnownPeers(self._peers, self._subscribers.entries_seen)
 
@@ -193,13 +202,21 @@
             self._out.append(Send(name, self._me))
 
     def _take_announced(self, msg: m.Announced) -> None:
-        if self._heard.announce(self._now, msg.row):
+        row = msg.row
+        named = self._services is None or row.service in self._services
+        if self._heard.announce(self._now, row, displaces=named):
             self._hold(msg.token)
         else:
             self._out.append(m.AnnouncementTaken(msg.token))
 
     def _take_leaving(self, msg: m.Leaving) -> None:
-        self._heard.leave(self._now, msg.searcher_id)
+        start = msg.start
+        if start is None:
+            # It doesn't say which start ends; the newest one known is meant.
+            start = self._heard.start_of(msg.searcher_id)
+        if start is None:
+            start = self._others.start_of(msg.searcher_id)
+        self._heard.leave(self._now, m.SearcherKey(msg.searcher_id, start))
         self._hold(msg.token)
 
     def _hold(self, token: object) -> None:
@@ -223,11 +240,11 @@
             self._out.append(Send(sender, self._document))
 
     def _take_slow(self, msg: m.SlowReport) -> None:
-        for searcher_id in msg.searcher_ids:
-            avoid_s = self._slow.note(self._now, searcher_id)
+        for searcher in msg.searchers:
+            avoid_s = self._slow.note(self._now, searcher)
             if avoid_s is None:
                 continue
-            told = m.SlowSearchers((searcher_id,), avoid_s)
+            told = m.SlowSearchers((searcher,), avoid_s)
             for name in self._subscribers:
                 self._out.append(Send(name, told))
 
@@ -257,8 +274,8 @@
         """Marks searchers lost that went silent, forgets what is long ended."""
         self._sweep_at = self._now + self._timing.announce / 4
         self._others.sweep(self._now)
-        for searcher_id in self._heard.sweep(self._now):
-            self._slow.forget(searcher_id)
+        for searcher in self._heard.sweep(self._now):
+            self._slow.forget(searcher)
         self._subscribers.sweep(self._now)
 
     def _push(self) -> None:
--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -25,15 +25,30 @@
     LOST = "lost"
 
 
+@attrs.frozen(order=True)
+class SearcherKey:
+    """One start of a searcher.
+
+    Attributes:
+        searcher_id: may be the one of an earlier start.
+        start: when it started, in Unix milliseconds of the searcher's own
+            clock; 0 if it doesn't say. It orders starts of one id and is
+            compared with no other clock.
+    """
+
+    searcher_id: str
+    start: int = 0
+
+
 @attrs.frozen
 class SearcherRow:
     """One start of a searcher, as one control instance heard it.
 
     Attributes:
-        searcher_id: new at each start of the searcher.
         sequence: grows with each announcement of that start.
         slots: requests that it works on at once.
         cold_left_s: how much longer it is slow after its start.
+        start: as in ``SearcherKey``.
     """
 
     searcher_id: str
@@ -44,6 +59,12 @@
     sequence: int
     slots: int
     cold_left_s: float
+    start: int = 0
+
+    @property
+    def key(self) -> SearcherKey:
+        """Names this start."""
+        return SearcherKey(self.searcher_id, self.start)
 
 
 @attrs.frozen
@@ -120,14 +141,14 @@
 class SlowReport:
     """An entry saw late answers, or none, of these searchers; once each."""
 
-    searcher_ids: tuple[str, ...]
+    searchers: tuple[SearcherKey, ...]
 
 
 @attrs.frozen
 class SlowSearchers:
     """These searchers are slow for several entries; avoid them that long."""
 
-    searcher_ids: tuple[str, ...]
+    searchers: tuple[SearcherKey, ...]
     for_s: float
 
 
@@ -138,7 +159,7 @@
 class SlowSeen:
     """A send took several times the usual of its route."""
 
-    searcher_id: str
+    searcher: SearcherKey
 
 
 @attrs.frozen
@@ -155,10 +176,15 @@
 
 @attrs.frozen
 class Leaving:
-    """A searcher says that it ends; it may serve a little longer."""
+    """A searcher says that it ends; it may serve a little longer.
+
+    Attributes:
+        start: which start of it says so; None if it doesn't say.
+    """
 
     token: object
     searcher_id: str
+    start: int | None = None
 
 
 @attrs.frozen
--- a/greengagemoor/feed/rows.py
+++ b/greengagemoor/feed/rows.py
@@ -15,7 +15,14 @@
 
 
 def newer(known: SearcherRow, row: SearcherRow) -> SearcherRow:
-    """Returns the row that holds, of two about one start of a searcher."""
+    """Returns the row that holds, of two about one searcher.
+
+    A searcher that starts again under its id counts its announcements anew:
+    compared by the count alone, its words look late for as long as it ran
+    before, and it gets no request for that time.
+    """
+    if row.start != known.start:
+        return row if row.start > known.start else known
     if SearcherState.GONE in (known.state, row.state):
         kept = row if row.address and not known.address else known
         return attrs.evolve(kept, state=SearcherState.GONE)
@@ -77,6 +84,11 @@
         for key in over:
             del self._told[key]
 
+    def start_of(self, searcher_id: str) -> int:
+        """Returns the start that was told last, 0 if none was."""
+        told = self._told.get(searcher_id)
+        return told.row.start if told is not None else 0
+
     def rows(self) -> tuple[SearcherRow, ...]:
         """Returns all rows."""
         return tuple(told.row for told in self._told.values())
--- a/greengagemoor/feed/slowness.py
+++ b/greengagemoor/feed/slowness.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
+if TYPE_CHECKING:
+    from greengagemoor.feed.messages import SearcherKey
+
 SLICE_S = 0.2
 WINDOW_SLICES = 7
 LEAST_SLICES = 5
@@ -33,16 +38,16 @@
     """
 
     def __init__(self):
-        self._rows: dict[str, _Slow] = {}
+        self._rows: dict[SearcherKey, _Slow] = {}
 
-    def note(self, now: float, searcher_id: str) -> float | None:
+    def note(self, now: float, searcher: SearcherKey) -> float | None:
         """Takes in a report.
 
         Returns:
             For how many seconds entries should avoid the searcher from now
             on; None if nothing new is to be said.
         """
-        row = self._rows.setdefault(searcher_id, _Slow())
+        row = self._rows.setdefault(searcher, _Slow())
         current = int(now / SLICE_S)
         oldest = current - WINDOW_SLICES
         row.slices = {s for s in row.slices if s > oldest} | {current}
@@ -56,6 +61,6 @@
         row.slices.clear()
         return row.avoid_s
 
-    def forget(self, searcher_id: str) -> None:
-        """Forgets a searcher that has ended."""
-        self._rows.pop(searcher_id, None)
+    def forget(self, searcher: SearcherKey) -> None:
+        """Forgets a start that has ended."""
+        self._rows.pop(searcher, None)
--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -70,7 +70,7 @@
         self._sources: dict[str, _Source] = {}
         self._rows: dict[str, m.SearcherRow] = {}
         self._fetch: _Fetch | None = None
-        self._slow_seen: set[str] = set()
+        self._slow_seen: set[m.SearcherKey] = set()
         self._report_at = 0.0
         self._read_at = 0.0
         self._op_ids = count(1)
@@ -125,7 +125,7 @@
         elif isinstance(msg, m.LinkDown):
             self._sources.pop(msg.name, None)
         elif isinstance(msg, m.SlowSeen):
-            self._slow_seen.add(msg.searcher_id)
+            self._slow_seen.add(msg.searcher)
         elif isinstance(msg, Received):
             self._take_payload(msg.sender, msg.payload)
 
--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -60,9 +60,7 @@
     """
     rows = tables.by_service.get(leg.service, ())
     fit = [
-        row
-        for row in rows
-        if row.searcher_id not in leg.asked and is_usable(tables, row)
+        row for row in rows if row not in leg.asked and is_usable(tables, row)
     ]
     free = [row for row in fit if len(row.attempts) < row.cap]
     if not free:
@@ -145,7 +143,7 @@
     row.answered_at = tables.now
     row.failures = 0
     if ratio >= SLOW_RATIO:
-        tables.out.append(SlowSeen(row.searcher_id))
+        tables.out.append(SlowSeen(row.key))
     _judge(tables, row, failed=False)
 
 
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -16,7 +16,10 @@
     Arrived,
     AttemptEnded,
     CallerGone,
+    CancelAttempt,
+    CloseIdle,
     Ending,
+    Outcome,
 )
 from greengagemoor.forward.tables import (
     Leg,
@@ -61,7 +64,8 @@
                 ``SearcherLearnt``, ``SlowSearchers``.
 
         Returns:
-            ``StartAttempt``, ``CancelAttempt``, ``Respond`` and ``SlowSeen``.
+            ``StartAttempt``, ``CancelAttempt``, ``CloseIdle``, ``Respond``
+            and ``SlowSeen``.
         """
         tables = self.tables
         tables.now = now
@@ -253,13 +257,16 @@
             completion.finish(self.tables, request, Ending.NOT_RUN_BUSY)
 
     def _take_slow(self, msg: SlowSearchers) -> None:
-        for searcher_id in msg.searcher_ids:
-            searcher = self.tables.searchers.get(searcher_id)
-            if searcher is not None:
+        for key in msg.searchers:
+            searcher = self.tables.searchers.get(key.searcher_id)
+            if searcher is not None and searcher.start == key.start:
                 searcher.slow_until = self.tables.now + msg.for_s
 
     def _take_searcher(self, row: SearcherRow) -> None:
         searcher = self.tables.searchers.get(row.searcher_id)
+        if searcher is not None and searcher.start != row.start:
+            self._take_new_start(searcher, row)
+            return
         if searcher is None:
             if row.state is SearcherState.GONE or not row.address:
                 return
@@ -270,6 +277,24 @@
         if row.state is SearcherState.GONE:
             self._remove(searcher)
 
+    def _take_new_start(self, old: Searcher, row: SearcherRow) -> None:
+        """Forgets what was known of a searcher that has started again.
+
+        The new process knows nothing of what ran at the old one, so those
+        sends would never be answered. They may have run: only what may be
+        repeated goes out again.
+        """
+        tables = self.tables
+        self._remove(old)
+        self._take_searcher(row)
+        tables.out.append(CloseIdle(old.address))
+        for attempt_id in list(old.attempts):
+            tables.out.append(CancelAttempt(attempt_id))
+            reason = "the searcher has started again"
+            self._take_ended(
+                AttemptEnded(attempt_id, Outcome.BROKEN, reason=reason)
+            )
+
     def _add(self, row: SearcherRow) -> Searcher:
         searcher = Searcher(
             searcher_id=row.searcher_id,
@@ -278,6 +303,7 @@
             data_centre=row.data_centre,
             state=row.state,
             slots=max(1, row.slots),
+            start=row.start,
             cap=self._cap(row.service),
         )
         sending.add_searcher(self.tables, searcher)
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -180,6 +180,13 @@
     attempt_id: int
 
 
+@attrs.frozen
+class CloseIdle:
+    """Close the idle connections to this address: their process has ended."""
+
+    address: str
+
+
 @attrs.frozen
 class Merged:
     """The answer to a gather.
--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -51,7 +51,7 @@
     if not leg.sends:
         leg.first_sent_at = tables.now
     leg.attempts.append(attempt)
-    leg.asked.append(searcher.searcher_id)
+    leg.asked.append(searcher)
     leg.runs += 1
     leg.sends += 1
     tables.out.append(
@@ -209,8 +209,10 @@
     It is counted as a second send, as a searcher that has the request and
     breaks off looks the same: uncounted, 244 were sent where 242 are allowed.
     """
-    row = tables.searchers.get(leg.asked[-1])
-    if row is None or not choosing.is_usable(tables, row):
+    row = leg.asked[-1]
+    if tables.searchers.get(row.searcher_id) is not row:
+        return False
+    if not choosing.is_usable(tables, row):
         return False
     if leg.sends >= MOST_SENDS or tables.now >= leg.request.ends_at:
         return False
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from greengagemoor.feed.messages import SearcherState
+from greengagemoor.feed.messages import SearcherKey, SearcherState
 from greengagemoor.forward.budget import SendBudget
 from greengagemoor.forward.timing import RouteTimes, Slowness
 
@@ -69,6 +69,7 @@
     data_centre: str
     state: SearcherState
     slots: int
+    start: int = 0
     cold_until: float = 0.0
     cap: int = 4
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
@@ -83,6 +84,11 @@
     avoid_until: float = float("-inf")
     slow_until: float = float("-inf")
 
+    @property
+    def key(self) -> SearcherKey:
+        """Names this start."""
+        return SearcherKey(self.searcher_id, self.start)
+
 
 @attrs.define(eq=False)
 class Attempt:
@@ -107,7 +113,7 @@
     request: Request
     service: str
     attempts: list[Attempt] = attrs.field(factory=list)
-    asked: list[str] = attrs.field(factory=list)
+    asked: list[Searcher] = attrs.field(factory=list)
     runs: int = 0
     sends: int = 0
     first_sent_at: float = 0.0
--- a/greengagemoor/platform/boot.py
+++ b/greengagemoor/platform/boot.py
@@ -60,6 +60,7 @@
         data_folder=fields.get("data-dir", ""),
         announce_s=float(fields.get("heartbeat-ms", "1200")) / 1000,
         grace_s=float(fields.get("bounds.grace-s", "6")),
+        catch_up_s=float(fields.get("bounds.catch-up-s", "4")),
         retry_ratio=float(fields.get("bounds.retry-budget-ratio", "0.2")),
         retry_slack=float(fields.get("bounds.retry-budget-slack", "20")),
         retry_window_s=float(fields.get("bounds.budget-window-s", "10")),
--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -17,6 +17,7 @@
     SearcherAnswer,
     SearcherLoad,
 )
+from greengagemoor.platform import fields
 from greengagemoor.platform.documents import read_document
 from greengagemoor.serving import dialect as d
 from greengagemoor.serving.dialect import Reply
@@ -56,6 +57,11 @@
 MOST_ADDRESSES = 64
 INSTANCE_CALL = re.compile(r"/v1/instances/([^/]+)/(heartbeat|leave)")
 JSON_TYPE = ((b"Content-Type", b"application/json"),)
+SAID_STATES = {
+    "ready": SearcherState.READY,
+    "draining": SearcherState.DRAINING,
+}
+UNREADABLE = (ValueError, KeyError, TypeError, RecursionError)
 OWN_STATUS = {
     Ending.SEARCHER_FAILED: 502,
     Ending.BROKEN: 502,
@@ -166,7 +172,7 @@
         if match is None or req.method != "POST":
             return None
         if match[2] == "leave":
-            return d.LeaveCall(match[1])
+            return d.LeaveCall(match[1], _read_leaving_start(req.body))
         return d.AnnounceCall(_read_row(match[1], req.body))
 
     def write_announced(self, again_at: str) -> Reply:
@@ -236,18 +242,33 @@
 
 
 def _read_row(searcher_id: str, body: bytes) -> SearcherRow:
+    """Reads an announcement; one that another writer wrote is refused whole."""
     try:
         data = json.loads(body)
+        fields.text(data["version"])
         return SearcherRow(
-            searcher_id=searcher_id,
+            searcher_id=fields.text(searcher_id),
             # The platform's back end is our service.
-            service=data["backend"],
-            address=data["address"],
-            data_centre=data["zone"],
-            state=SearcherState(data["state"]),
-            sequence=int(data["seq-no"]),
-            slots=int(data.get("slots", 1)),
-            cold_left_s=float(data.get("cold-left-ms", 0)) / 1000,
+            service=fields.text(data["backend"]),
+            address=fields.address(data["address"]),
+            data_centre=fields.text(data["zone"]),
+            state=SAID_STATES[fields.text(data["state"])],
+            sequence=fields.whole(data["seq-no"]),
+            slots=fields.whole(data["slots"]),
+            cold_left_s=fields.number(data["cold-left-ms"]) / 1000,
+            start=_read_start(data) or 0,
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except UNREADABLE as exc:
         raise InvalidInputError([f"announcement: {exc!r}"]) from exc
+
+
+def _read_start(data: dict[str, Any]) -> int | None:
+    """Reads which start of a searcher speaks, None if it doesn't say."""
+    return fields.whole(data["born"]) if "born" in data else None
+
+
+def _read_leaving_start(body: bytes) -> int | None:
+    try:
+        return _read_start(dict(json.loads(body))) if body else None
+    except UNREADABLE as exc:
+        raise InvalidInputError([f"leave: {exc!r}"]) from exc
--- a/greengagemoor/platform/documents.py
+++ b/greengagemoor/platform/documents.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from greengagemoor.errors import DocumentError
+from greengagemoor.platform import fields
 from greengagemoor.routing.routes import (
     CallerLimits,
     Gather,
@@ -29,16 +30,20 @@
         return _table(json.loads(text))
     except KeyError as exc:
         raise DocumentError([f"{exc.args[0]} is missing"]) from exc
-    except (ValueError, TypeError, AttributeError, RecursionError) as exc:
+    except (
+        ValueError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+        OverflowError,
+    ) as exc:
         raise DocumentError([f"not a document: {exc}"]) from exc
 
 
 def _table(data: dict[str, Any]) -> RouteTable:
-    version = data["version"]
-    if type(version) is not int or version <= 0:
-        raise ValueError("the version is not a positive whole number")
+    version = fields.whole(data["version"], least=1)
     services = [
-        ServiceRules(_text(item["name"]), int(item["max-conns"]))
+        ServiceRules(fields.text(item["name"]), int(item["max-conns"]))
         for item in data["services"]
     ]
     return RouteTable(
@@ -49,20 +54,14 @@
     )
 
 
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a text")
-    return value
-
-
 def _route(item: dict[str, Any]) -> Route:
     return Route(
-        name=_text(item["name"]),
-        host=_text(item["hostname"]),
-        prefix=_text(item["path-prefix"]),
+        name=fields.text(item["name"]),
+        host=fields.text(item["hostname"]),
+        prefix=fields.text(item["path-prefix"]),
         grade=GRADES[item["route-type"]],
-        time_limit_s=item["timeout-ms"] / 1000,
-        objective_s=item["target-latency-ms"] / 1000,
+        time_limit_s=fields.number(item["timeout-ms"]) / 1000,
+        objective_s=fields.number(item["target-latency-ms"]) / 1000,
         rank=int(item.get("priority", 0)),
         attempts=int(item.get("max-attempts", 1)),
         split=_split(item),
@@ -72,10 +71,11 @@
 
 def _split(item: dict[str, Any]) -> tuple[WeightedService, ...]:
     if item.get("backend"):
-        return (WeightedService(_text(item["backend"])),)
+        return (WeightedService(fields.text(item["backend"])),)
     return tuple(
         WeightedService(
-            _text(part.get("backend") or part["name"]), float(part["weight"])
+            fields.text(part.get("backend") or part["name"]),
+            float(part["weight"]),
         )
         for part in item.get("traffic-split") or ()
     )
@@ -86,7 +86,7 @@
     if not services:
         return None
     return Gather(
-        tuple(_text(name) for name in services),
+        tuple(fields.text(name) for name in services),
         int(item["top-k"]),
         float(item["min-coverage"]),
     )
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -6,13 +6,11 @@
 import random
 import zlib
 from collections import deque
-from itertools import count
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
 from greengagemoor.aio.links import Links
 from greengagemoor.aio.server import HttpServer, Limits
-from greengagemoor.codes import Code
 from greengagemoor.control import messages as control
 from greengagemoor.control.client import Ask, ControlClient, Done
 from greengagemoor.control.commands import PutDocument
@@ -24,16 +22,17 @@
 from greengagemoor.feed.hub import Timing as HubTiming
 from greengagemoor.routing import routes
 from greengagemoor.serving import dialect as calls
-from greengagemoor.serving import inboxes
+from greengagemoor.serving import inboxes, opencalls
 from greengagemoor.serving.durable import OTHER_ROWS, OWN_ROWS, Durable
 from greengagemoor.serving.metrics import ServingMetrics
+from greengagemoor.serving.opencalls import BadCalls, OpenCalls
 from greengagemoor.serving.ticker import Ticker
 from greengagemoor.shell.clock import Clock
 
 if TYPE_CHECKING:
     from greengagemoor.aio.server import HttpRequest
     from greengagemoor.control.messages import Send
-    from greengagemoor.serving.dialect import Dialect, Reply
+    from greengagemoor.serving.dialect import Dialect
     from greengagemoor.serving.settings import ServingSettings
 
 ASK_S = 0.9
@@ -43,6 +42,8 @@
 HEARTBEAT_S = 0.15
 ELECTION_S = 0.6
 """Four heartbeats; a dead leader is replaced within two seconds."""
+JOIN_S = 0.25
+"""How often a control instance outside the group asks to be taken in."""
 
 
 class ControlApp:
@@ -63,8 +64,8 @@
         self._decider: ControlDecider | None = None
         self._told: tuple[str, int, str] = ("", 0, "")
         self._told_number = 0
-        self._tokens = count(1)
-        self._waiting: dict[int, HttpRequest] = {}
+        self._calls = OpenCalls(dialect)
+        self._bad_calls = BadCalls()
         self._metrics = ServingMetrics(self._gauges)
         servers = {cfg.control_address, cfg.directory_address} - {""}
         self._servers = [
@@ -110,7 +111,12 @@
             self.cfg.peer_address,
             peers,
             random.Random(self._rng.getrandbits(64)),
-            Timing(heartbeat=HEARTBEAT_S, election=ELECTION_S, join=0.25),
+            Timing(
+                heartbeat=HEARTBEAT_S,
+                election=ELECTION_S,
+                join=JOIN_S,
+                retire=self.cfg.catch_up_s,
+            ),
             new_group=founds,
         )
         self._ticker.put(recovered)
@@ -135,33 +141,29 @@
         try:
             call = self._dialect.read_call(req)
         except InvalidInputError as exc:
-            log.event("bad_call", target=req.target, reason=exc)
+            self._bad_calls.note(self.clock.now(), req.target, exc)
             call = None
         if isinstance(call, calls.AnnounceCall):
-            self._ticker.put(feed.Announced(self._open(req), call.row))
+            self._ticker.put(feed.Announced(self._calls.open(req), call.row))
         elif isinstance(call, calls.LeaveCall):
-            self._ticker.put(feed.Leaving(self._open(req), call.searcher_id))
+            self._ticker.put(
+                feed.Leaving(
+                    self._calls.open(req), call.searcher_id, call.start
+                )
+            )
         elif isinstance(call, calls.PutCall):
             self._take_put(req, call)
         elif isinstance(call, calls.ReadCall):
             self._ask(req, control.OpKind.READ_NUMBERED)
         elif isinstance(call, calls.FindEntriesCall):
             entries = self._hub.entries_for_caller()
-            self._reply(req, self._dialect.write_entries(entries))
+            opencalls.answer(req, self._dialect.write_entries(entries))
         else:
-            self._reply(req, self._dialect.write_unknown_call())
+            opencalls.answer(req, self._dialect.write_unknown_call())
 
     def gone(self, req: HttpRequest) -> None:
         """Forgets a caller that left; what it asked for goes on."""
-        self._waiting.pop(req.token, None)
-
-    def _open(self, req: HttpRequest) -> int:
-        req.token = next(self._tokens)
-        self._waiting[req.token] = req
-        return req.token
-
-    def _reply(self, req: HttpRequest, reply: Reply) -> None:
-        req.conn.reply(req, reply.status, reply.headers, reply.body)
+        self._calls.forget(req)
 
     def _take_put(self, req: HttpRequest, call: calls.PutCall) -> None:
         try:
@@ -170,7 +172,7 @@
         except DocumentError as exc:
             faults = "; ".join(exc.faults[:5])
             log.event("document_refused", faults=faults)
-            self._reply(req, self._dialect.write_put(False, faults))
+            opencalls.answer(req, self._dialect.write_put(False, faults))
             return
         packed = zlib.compress(call.body, 6)
         command = PutDocument(table.version, packed, 0.0)
@@ -183,7 +185,7 @@
         command: PutDocument | None = None,
     ) -> None:
         deadline = self.clock.now() + ASK_S
-        token = self._open(req)
+        token = self._calls.open(req)
         self._ticker.put(Ask(token, kind, deadline, command))
 
     # Ticks.
@@ -222,12 +224,13 @@
         elif isinstance(msg, control.Persist):
             self._durable.write(msg)
         elif isinstance(msg, control.NumberedAccepted):
+            self._note_services(msg)
             inbox.append(msg)
         elif isinstance(msg, feed.AnnouncementTaken):
             reply = self._dialect.write_announced(self.cfg.control_address)
-            self._answer(msg.token, reply)
+            self._calls.answer(msg.token, reply)
         elif isinstance(msg, Done):
-            self._take_done(msg)
+            self._calls.take_done(msg)
 
     def _send(self, msg: Send, inbox: deque) -> None:
         if msg.to == self.cfg.instance:
@@ -235,27 +238,15 @@
         else:
             self._links.send(msg)
 
-    def _answer(self, token: int, reply: Reply) -> None:
-        req = self._waiting.pop(token, None)
-        if req is not None:
-            self._reply(req, reply)
-
-    def _take_done(self, msg: Done) -> None:
-        code = msg.reply.code
-        log.event(
-            "operation",
-            kind=msg.kind.value,
-            code=int(code),
-            version=msg.reply.version,
-        )
-        if msg.kind is control.OpKind.PUT:
-            reply = self._dialect.write_put(code == Code.ACCEPTED)
-        elif code == Code.CURRENT and msg.reply.packed:
-            text = zlib.decompress(msg.reply.packed)
-            reply = self._dialect.write_document(text)
-        else:
-            reply = self._dialect.write_document(None)
-        self._answer(msg.token, reply)
+    def _note_services(self, msg: control.NumberedAccepted) -> None:
+        """Tells the hub which services the document in force names."""
+        try:
+            table = self._dialect.read_document(zlib.decompress(msg.packed))
+        except DocumentError as exc:
+            # It was checked before it was accepted: another release did that.
+            log.event("document_unreadable", level="ERROR", reason=exc)
+            return
+        self._hub.set_services(frozenset(table.services))
 
     def _follow_members(self) -> None:
         """Links to all members, and tells entries of them."""
@@ -285,6 +276,7 @@
             "document_version": self._told_number,
             "links": len(self._links.open),
             "link_bytes_sent_total": self._links.sent_bytes,
+            "bad_calls_total": self._bad_calls.total,
             "tick_failures_total": self._ticker.failures,
             "log_lines_lost_total": log.lines_lost(),
         }
--- a/greengagemoor/serving/dialect.py
+++ b/greengagemoor/serving/dialect.py
@@ -53,9 +53,14 @@
 
 @attrs.frozen
 class LeaveCall:
-    """A searcher ends."""
+    """A searcher ends.
+
+    Attributes:
+        start: which start of it says so; None if it doesn't say.
+    """
 
     searcher_id: str
+    start: int | None = None
 
 
 @attrs.frozen
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -24,6 +24,7 @@
     AttemptEnded,
     CallerGone,
     CancelAttempt,
+    CloseIdle,
     Outcome,
     Respond,
     StartAttempt,
@@ -199,10 +200,11 @@
                 address=msg.row.address,
                 state=msg.row.state.value,
                 sequence=msg.row.sequence,
+                start=msg.row.start,
             )
             forward_msgs.append(msg)
         elif isinstance(msg, feed.SlowSearchers):
-            ids = ",".join(msg.searcher_ids)
+            ids = ",".join(key.searcher_id for key in msg.searchers)
             log.event("searcher_slow", searcher=ids, for_s=msg.for_s)
             forward_msgs.append(msg)
         elif isinstance(msg, feed.DocumentLearnt):
@@ -235,6 +237,8 @@
                 sending.cancel()
         elif isinstance(msg, Respond):
             self._respond(msg)
+        elif isinstance(msg, CloseIdle):
+            self._pool.close_address(msg.address)
         elif isinstance(msg, feed.SlowSeen):
             self._ticker.put(msg)
 
--- a/greengagemoor/serving/settings.py
+++ b/greengagemoor/serving/settings.py
@@ -29,6 +29,8 @@
         data_folder: where durable state lies (control).
         announce_s: how often searchers announce themselves.
         grace_s: time between SIGTERM and the end that the platform forces.
+        catch_up_s: how long after its start a control instance may take until
+            the group bears a further loss.
         retry_ratio: second sends allowed for each request, over all entries.
         retry_slack: second sends allowed besides, of all entries to one
             service in each window.
@@ -50,6 +52,7 @@
         default=1.2, validator=in_range(0.01, 600.0)
     )
     grace_s: float = attrs.field(default=6.0, validator=in_range(0.1, 600.0))
+    catch_up_s: float = attrs.field(default=4.0, validator=in_range(0.5, 600.0))
     retry_ratio: float = attrs.field(default=0.2, validator=in_range(0, 10.0))
     retry_slack: float = attrs.field(default=20.0, validator=in_range(0, 1e6))
     retry_window_s: float = attrs.field(
--- a/greengagemoor/util/checks.py
+++ b/greengagemoor/util/checks.py
@@ -24,14 +24,19 @@
 
 def is_address(_: Any, attribute: attrs.Attribute, value: str) -> None:
     """Refuses what is not IP:PORT; names are not looked up."""
+    if not is_ip_port(value):
+        raise ValueError(f"{attribute.name}: {value[:80]!r} is not IP:PORT")
+
+
+def is_ip_port(value: str) -> bool:
+    """Whether a text is IP:PORT."""
     match = ADDRESS_PATTERN.fullmatch(value)
-    good = (
+    return (
         match is not None
+        and value.isascii()
         and all(int(part) <= 255 for part in match[1].split("."))
         and int(match[2]) <= MAX_PORT
     )
-    if not good:
-        raise ValueError(f"{attribute.name}: {value[:80]!r} is not IP:PORT")
 
 
 def in_range(low: float, high: float) -> Callable[..., None]:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,6 +34,7 @@
         self.operator = Operator(self.world, self.rng)
         self.searchers: list[Searcher] = []
         self.events: list[str] = []
+        self.crashes = 0
         self._ports = 8080
 
     async def play(self) -> list[str]:
@@ -55,6 +56,7 @@
             for task in tasks:
                 task.cancel()
             await self._check_recovered()
+            self._check_all_serve()
             self.caller.check_runs()
             self.check_once()
             self.world.check_ends()
@@ -77,11 +79,17 @@
         ]
         self.world.faults += [f"{key}: a booking ran twice" for key in twice]
 
-    async def add_searcher(self, service: str) -> None:
-        """Starts a searcher at a new address."""
+    async def add_searcher(
+        self, service: str, again: Searcher | None = None
+    ) -> None:
+        """Starts a searcher at a new address, or one that has ended again."""
         self._ports += 1
         address = f"127.{10 + self.seed % 200}.3.1:{self._ports}"
+        if again is not None:
+            address = again.address
         searcher = Searcher(self.world, service, address, self.rng)
+        if again is not None:
+            searcher.searcher_id = again.searcher_id
         await searcher.start()
         self.searchers.append(searcher)
 
@@ -129,6 +137,13 @@
             self.world.faults.append(f"{sum(good)} of 40 served when calm")
         await self._until(self._read_back, "no read when calm")
 
+    def _check_all_serve(self) -> None:
+        """Each searcher has run something since it started."""
+        for searcher in self.searchers:
+            if not searcher.own_runs:
+                fault = f"{searcher.searcher_id} ran nothing since its start"
+                self.world.faults.append(fault)
+
     async def _read_back(self) -> bool:
         return await self.operator.read() is not None
 
@@ -179,11 +194,16 @@
 
 
 async def crash_searcher(run: Run) -> None:
-    """A searcher ends without a word; another one starts elsewhere."""
+    """A searcher ends without a word, and starts again or another one does.
+
+    Every other time it starts again under the id and the address it had.
+    """
     searcher = run.rng.choice(run.searchers)
     run.searchers.remove(searcher)
     searcher.stop()
-    await run.add_searcher(searcher.service)
+    run.crashes += 1
+    again = searcher if run.crashes % 2 else None
+    await run.add_searcher(searcher.service, again)
 
 
 async def drain_searcher(run: Run) -> None:
--- a/soak/searchers.py
+++ b/soak/searchers.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import json
+import time
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -59,6 +60,8 @@
         self.address = address
         self.rng = rng
         self.searcher_id = f"i-{rng.getrandbits(40):010x}"
+        self.born = time.time_ns() // 1_000_000
+        self.own_runs = 0
         self.slow_until = 0.0
         self.draining_since: float | None = None
         self.runs: Counter[str] = world.runs
@@ -85,6 +88,8 @@
             "backend": self.service,
             "address": self.address,
             "zone": "dc1",
+            "version": "v1",
+            "born": self.born,
             "slots": 4,
             "state": state,
             "cold-left-ms": 0,
@@ -107,6 +112,7 @@
         request_id = req.header(b"request-id") or ""
         self.world.check_drain(self, loop.time())
         self.runs[request_id, self.service] += 1
+        self.own_runs += 1
         work = 0.3 if loop.time() < self.slow_until else 0.005
         loop.call_later(work, self._answer, req, request_id)
 
--- a/tests/test_feed/test_slowness.py
+++ b/tests/test_feed/test_slowness.py
@@ -11,10 +11,12 @@
 )
 from tests.test_feed.test_hub_and_view import HubBench, ViewBench
 
+KEY = m.SearcherKey("i1")
+
 
 def told(table, *times):
     """Returns what the table said to reports at these times."""
-    return [table.note(at, "i1") for at in times]
+    return [table.note(at, KEY) for at in times]
 
 
 class TestSlowTable:
@@ -52,7 +54,7 @@
         view.step(m.LinkUp("c1"))
         sent = []
         for _ in range(9):
-            sent += view.step(m.SlowSeen("i1"), after=0.15)
+            sent += view.step(m.SlowSeen(KEY), after=0.15)
         reports = [x for x in sent if isinstance(x.payload, m.SlowReport)]
         assert reports
         bench = HubBench()
@@ -61,6 +63,6 @@
         out = []
         for msg in reports:
             out += bench.step(Received("e1", msg.payload), after=0.2)
-        slow = m.SlowSearchers(("i1",), FIRST_AVOID_S)
+        slow = m.SlowSearchers((KEY,), FIRST_AVOID_S)
         assert Send("e1", slow) in out
         assert Send("e2", slow) in out
--- a/tests/test_forward/test_decider.py
+++ b/tests/test_forward/test_decider.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from greengagemoor.feed.messages import SearcherState, SlowSearchers
+from greengagemoor.feed.messages import (
+    SearcherKey,
+    SearcherState,
+    SlowSearchers,
+)
 from greengagemoor.forward import messages as m
 from greengagemoor.forward.messages import Ending, Outcome
 from greengagemoor.routing.routes import Grade, WeightedService
@@ -412,7 +416,7 @@
         (start,) = starts(bench.arrive(single()))
         bench.now += 0.01
         bench.answer(start)
-        bench.step(SlowSearchers(("s0.0",), 2.0))
+        bench.step(SlowSearchers((SearcherKey("s0.0"),), 2.0))
         bench.learn("s0.1", "s0")
         bench.decider.tables.searchers["s0.1"].slowness.value = 2.0
         bench.decider.tables.searchers["s0.1"].answered_at = bench.now
@@ -421,7 +425,7 @@
 
     def test_slow_for_others_is_avoided_for_a_while(self):
         bench = Bench(searchers=2)
-        bench.step(SlowSearchers(("s0.0",), 2.0))
+        bench.step(SlowSearchers((SearcherKey("s0.0"),), 2.0))
         seen = set()
         for _ in range(20):
             (start,) = starts(bench.arrive(single()))
