--- a/greengagemoor/aio/client.py
+++ b/greengagemoor/aio/client.py
@@ -7,10 +7,10 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-import attrs
 import httptools
 
 from greengagemoor.aio import sockets
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +23,7 @@
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
-@attrs.frozen
+@values.frozen
 class HttpAnswer:
     """A whole answer.
 
@@ -37,7 +37,7 @@
     closes: bool
 
 
-@attrs.frozen
+@values.frozen
 class HttpFailure:
     """No whole answer came.
 
--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -40,7 +40,7 @@
 """How often a dialled link is looked at, to dial it again once it is gone."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class DialPace:
     """How long a dial may take, and how long to wait after one that failed.
 
--- a/greengagemoor/aio/server.py
+++ b/greengagemoor/aio/server.py
@@ -25,7 +25,7 @@
 PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class HttpRequest:
     """A whole request.
 
@@ -71,7 +71,7 @@
         """The caller closed its connection before the reply."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Limits:
     """Bounds on one server's connections; times in seconds.
 
--- a/greengagemoor/claims.py
+++ b/greengagemoor/claims.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from greengagemoor.codes import Code
 from greengagemoor.control.client import Ask
 from greengagemoor.control.commands import Claim, RecordOutcome
@@ -15,6 +13,7 @@
     ClaimVerdict,
     OutcomeKnown,
 )
+from greengagemoor.util import values
 from greengagemoor.util.request_ids import issue_time
 
 if TYPE_CHECKING:
@@ -27,7 +26,7 @@
 OUTCOME_WAIT_S = 60.0
 
 
-@attrs.frozen
+@values.frozen
 class ClaimToken:
     """Marks the ledger's answer to a claim."""
 
@@ -37,7 +36,7 @@
     send_before: float
 
 
-@attrs.frozen
+@values.frozen
 class OutcomeToken:
     """Marks the ledger's answer to an outcome; nobody waits for it."""
 
--- a/greengagemoor/codes.py
+++ b/greengagemoor/codes.py
@@ -8,7 +8,7 @@
 
 import enum
 
-import attrs
+from greengagemoor.util import values
 
 
 class Code(enum.IntEnum):
@@ -55,7 +55,7 @@
     UNAVAILABLE = "unavailable"
 
 
-@attrs.frozen
+@values.frozen
 class CodeInfo:
     """How a code is shown: its HTTP status and its meaning."""
 
--- a/greengagemoor/control/client.py
+++ b/greengagemoor/control/client.py
@@ -15,6 +15,7 @@
     Received,
     Send,
 )
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     import random
@@ -26,7 +27,7 @@
 PAUSE_S = 0.05
 
 
-@attrs.frozen
+@values.frozen
 class Ask:
     """Asks for one operation.
 
@@ -43,7 +44,7 @@
     member_id: str = ""
 
 
-@attrs.frozen
+@values.frozen
 class Done:
     """The result of an ``Ask``.
 
@@ -58,7 +59,7 @@
     maybe: bool = False
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _Pending:
     ask: Ask
     op_id: int
--- a/greengagemoor/control/commands.py
+++ b/greengagemoor/control/commands.py
@@ -5,10 +5,10 @@
 
 from __future__ import annotations
 
-import attrs
+from greengagemoor.util import values
 
 
-@attrs.frozen
+@values.frozen
 class Member:
     """A member of the control group.
 
@@ -24,14 +24,14 @@
     voter: bool
 
 
-@attrs.frozen
+@values.frozen
 class NoOp:
     """Opens a leader's term and moves the group's time forward."""
 
     time: float
 
 
-@attrs.frozen
+@values.frozen
 class ApplyDocument:
     """Replaces document version ``replaces`` by ``text``."""
 
@@ -41,7 +41,7 @@
     time: float
 
 
-@attrs.frozen
+@values.frozen
 class Claim:
     """Claims the right to send a request once.
 
@@ -60,7 +60,7 @@
     time: float
 
 
-@attrs.frozen
+@values.frozen
 class RecordOutcome:
     """Records how a claimed request ended."""
 
@@ -72,7 +72,7 @@
     time: float
 
 
-@attrs.frozen
+@values.frozen
 class ChangeMembers:
     """Replaces the member list; it differs by one voter at most."""
 
@@ -80,7 +80,7 @@
     time: float
 
 
-@attrs.frozen
+@values.frozen
 class PutDocument:
     """Stores a document under a number that the operator chose.
 
@@ -99,7 +99,7 @@
 )
 
 
-@attrs.frozen
+@values.frozen
 class LogEntry:
     """One entry of the replicated log."""
 
@@ -108,7 +108,7 @@
     command: Command
 
 
-@attrs.frozen
+@values.frozen
 class Snapshot:
     """The state machines after ``index``, as bytes.
 
--- a/greengagemoor/control/decider.py
+++ b/greengagemoor/control/decider.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from greengagemoor.control import (
     election,
     members,
@@ -22,6 +20,7 @@
     note_synced,
     release,
 )
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     import random
@@ -30,7 +29,7 @@
     from greengagemoor.control.commands import Member
 
 
-@attrs.frozen
+@values.frozen
 class MemberStatus:
     """How the leader sees a member."""
 
@@ -41,7 +40,7 @@
     match_index: int
 
 
-@attrs.frozen
+@values.frozen
 class ControlStatus:
     """What ``greengagemoorctl members`` shows.
 
--- a/greengagemoor/control/documents.py
+++ b/greengagemoor/control/documents.py
@@ -9,7 +9,7 @@
 import attrs
 
 from greengagemoor.codes import Code
-from greengagemoor.util import shape
+from greengagemoor.util import shape, values
 
 if TYPE_CHECKING:
     from greengagemoor.control.commands import ApplyDocument
@@ -19,7 +19,7 @@
 """How long a process may go on under a document it can't confirm."""
 
 
-@attrs.frozen
+@values.frozen
 class ApplyResult:
     """What became of an apply; kept for resends."""
 
@@ -29,7 +29,7 @@
     detail: str = ""
 
 
-@attrs.frozen
+@values.frozen
 class InForce:
     """What a document version meant for connection shares.
 
@@ -42,7 +42,7 @@
     until: float | None = None
 
 
-@attrs.frozen
+@values.frozen
 class _Saved:
     version: int
     text: str
--- a/greengagemoor/control/ledger.py
+++ b/greengagemoor/control/ledger.py
@@ -8,7 +8,7 @@
 
 from greengagemoor.codes import ClaimVerdict, Code, is_not_run
 from greengagemoor.control.commands import Claim, RecordOutcome
-from greengagemoor.util import shape
+from greengagemoor.util import shape, values
 
 DEFAULT_WINDOW_S = 3600.0
 CLAIM_MARGIN_S = 1.0
@@ -30,7 +30,7 @@
     outcome: str = ""
 
 
-@attrs.frozen
+@values.frozen
 class ClaimAnswer:
     """What the ledger says of a claim."""
 
@@ -38,7 +38,7 @@
     outcome: str = ""
 
 
-@attrs.frozen
+@values.frozen
 class _SavedRow:
     caller: str
     request_id: str
@@ -49,7 +49,7 @@
     outcome: str
 
 
-@attrs.frozen
+@values.frozen
 class _Saved:
     time: float
     window: float
--- a/greengagemoor/control/messages.py
+++ b/greengagemoor/control/messages.py
@@ -11,13 +11,14 @@
 import attrs
 
 from greengagemoor.control.commands import Command, LogEntry, Snapshot
+from greengagemoor.util import values
 
 # Between members of the group. ``source`` and ``target`` are member ids: a
 # message for the identity that an instance had before it lost its disk must
 # not reach the identity that it has now.
 
 
-@attrs.frozen
+@values.frozen
 class VoteRequest:
     """Asks for a vote; with ``pre`` only whether it would be given."""
 
@@ -30,7 +31,7 @@
     pre: bool
 
 
-@attrs.frozen
+@values.frozen
 class VoteReply:
     """Gives or refuses a vote; ``term`` is the voter's."""
 
@@ -43,7 +44,7 @@
     pre: bool
 
 
-@attrs.frozen
+@values.frozen
 class AppendRequest:
     """Entries after ``prev_index``, or a heartbeat without any.
 
@@ -63,7 +64,7 @@
     round: int
 
 
-@attrs.frozen
+@values.frozen
 class AppendReply:
     """Answers an ``AppendRequest`` after its entries are synced.
 
@@ -83,7 +84,7 @@
     round: int
 
 
-@attrs.frozen
+@values.frozen
 class InstallSnapshot:
     """Whole state for a member whose next entries are trimmed."""
 
@@ -95,7 +96,7 @@
     round: int
 
 
-@attrs.frozen
+@values.frozen
 class JoinRequest:
     """A process with the control role asks to belong to a group."""
 
@@ -104,7 +105,7 @@
     address: str
 
 
-@attrs.frozen
+@values.frozen
 class JoinReply:
     """Tells a joiner which group this process belongs to, '' for none."""
 
@@ -126,7 +127,7 @@
     READ_NUMBERED = "read_numbered"
 
 
-@attrs.frozen
+@values.frozen
 class OpRequest:
     """Asks the leader for one operation.
 
@@ -145,7 +146,7 @@
     member_id: str = ""
 
 
-@attrs.frozen
+@values.frozen
 class OpReply:
     """The leader's reply, or another member's that it does not lead.
 
@@ -173,7 +174,7 @@
 # Between the decider and its disk.
 
 
-@attrs.frozen
+@values.frozen
 class HardState:
     """What a member must not forget: its group, term and vote."""
 
@@ -182,7 +183,7 @@
     voted_for: str
 
 
-@attrs.frozen
+@values.frozen
 class Persist:
     """Write these in order, sync once, then say ``Persisted(op)``.
 
@@ -197,14 +198,14 @@
     snapshot: Snapshot | None = None
 
 
-@attrs.frozen
+@values.frozen
 class Persisted:
     """Everything up to and including ``op`` is synced."""
 
     op: int
 
 
-@attrs.frozen
+@values.frozen
 class PersistFailed:
     """A write or sync failed; nothing from ``op`` on is durable."""
 
@@ -212,7 +213,7 @@
     reason: str
 
 
-@attrs.frozen
+@values.frozen
 class Recovered:
     """What the data folder held at start."""
 
@@ -224,7 +225,7 @@
 # To other deciders and the shell.
 
 
-@attrs.frozen
+@values.frozen
 class Send:
     """Send a payload to another process of ours, by instance name.
 
@@ -237,7 +238,7 @@
     address: str = ""
 
 
-@attrs.frozen
+@values.frozen
 class Received:
     """A payload came from another process of ours.
 
@@ -250,7 +251,7 @@
     address: str = ""
 
 
-@attrs.frozen
+@values.frozen
 class DocumentAccepted:
     """This member applied a committed document."""
 
@@ -258,7 +259,7 @@
     text: str
 
 
-@attrs.frozen
+@values.frozen
 class NumberedAccepted:
     """This member applied a committed document numbered by the operator."""
 
@@ -266,7 +267,7 @@
     packed: bytes
 
 
-@attrs.frozen
+@values.frozen
 class Confirmed:
     """A quorum confirmed that ``version`` was current.
 
--- a/greengagemoor/control/state.py
+++ b/greengagemoor/control/state.py
@@ -12,6 +12,7 @@
 from greengagemoor.control.log import Log
 from greengagemoor.control.machine import Machine
 from greengagemoor.control.messages import HardState, Persist, Send
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from greengagemoor.control.commands import LogEntry, Member, Snapshot
@@ -30,7 +31,7 @@
     FAILED = "failed"
 
 
-@attrs.frozen
+@values.frozen
 class Timing:
     """Intervals in seconds.
 
@@ -48,7 +49,7 @@
     retire: float = 10.0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Progress:
     """What a leader knows of another member.
 
@@ -65,7 +66,7 @@
     snapshot_sent_at: float = float("-inf")
 
 
-@attrs.frozen
+@values.frozen
 class PendingOp:
     """An operation in the log whose asker waits for its result."""
 
@@ -75,7 +76,7 @@
     term: int
 
 
-@attrs.frozen
+@values.frozen
 class PendingRead:
     """A read that waits for a quorum to confirm the leader."""
 
@@ -86,7 +87,7 @@
     kind: OpKind
 
 
-@attrs.frozen
+@values.frozen
 class Applied:
     """A committed entry and what the state machines said of it."""
 
@@ -94,7 +95,7 @@
     result: ApplyResult | ClaimAnswer | None
 
 
-@attrs.frozen
+@values.frozen
 class Held:
     """Something that must wait for a sync: a message, or the own vote."""
 
@@ -103,7 +104,7 @@
     vote_term: int = 0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Disk:
     """What has been handed to the disk, and what is known to be synced.
 
@@ -125,7 +126,7 @@
     new_held: list[Held] = attrs.field(factory=list)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class State:
     """One member: its durable fields, its role and its output of a tick."""
 
--- a/greengagemoor/feed/heard.py
+++ b/greengagemoor/feed/heard.py
@@ -22,7 +22,7 @@
 JUMP_BEATS = 1.6
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _Heard:
     row: SearcherRow
     heard_at: float
--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -5,8 +5,6 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-import attrs
-
 from greengagemoor.control.messages import NumberedAccepted, Received, Send
 from greengagemoor.feed import messages as m
 from greengagemoor.feed.heard import FORGET_S, LOST_AFTER_BEATS, HeardRows
@@ -14,12 +12,13 @@
 from greengagemoor.feed.rows import OtherRows
 from greengagemoor.feed.slowness import SlowTable
 from greengagemoor.feed.subscribers import Subscribers
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 
-@attrs.frozen
+@values.frozen
 class Timing:
     """Intervals in seconds.
 
--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -9,7 +9,7 @@
 
 import enum
 
-import attrs
+from greengagemoor.util import values
 
 
 class SearcherState(enum.Enum):
@@ -25,7 +25,7 @@
     LOST = "lost"
 
 
-@attrs.frozen(order=True)
+@values.frozen
 class SearcherKey:
     """One start of a searcher.
 
@@ -40,7 +40,7 @@
     start: int = 0
 
 
-@attrs.frozen
+@values.frozen
 class SearcherRow:
     """One start of a searcher, as one control instance heard it.
 
@@ -67,7 +67,7 @@
         return SearcherKey(self.searcher_id, self.start)
 
 
-@attrs.frozen
+@values.frozen
 class Subscribe:
     """A process asks for rows; an entry again at each change of ``ready``.
 
@@ -81,7 +81,7 @@
     ready: bool
 
 
-@attrs.frozen
+@values.frozen
 class SearcherRows:
     """Rows that changed, or all rows of the sender when ``whole``.
 
@@ -94,28 +94,28 @@
     rows: tuple[SearcherRow, ...]
 
 
-@attrs.frozen
+@values.frozen
 class RowsTaken:
     """An entry has taken in all ``SearcherRows`` up to ``number``."""
 
     number: int
 
 
-@attrs.frozen
+@values.frozen
 class DocumentNumber:
     """The sender has applied the document of this number."""
 
     number: int
 
 
-@attrs.frozen
+@values.frozen
 class WantNumbered:
     """Asks for the document, if it is newer than ``known_number``."""
 
     known_number: int
 
 
-@attrs.frozen
+@values.frozen
 class NumberedDocument:
     """A document, compressed."""
 
@@ -123,7 +123,7 @@
     packed: bytes
 
 
-@attrs.frozen
+@values.frozen
 class KnownPeers:
     """Where control instances are found.
 
@@ -137,14 +137,14 @@
     entries: int
 
 
-@attrs.frozen
+@values.frozen
 class SlowReport:
     """An entry saw late answers, or none, of these searchers; once each."""
 
     searchers: tuple[SearcherKey, ...]
 
 
-@attrs.frozen
+@values.frozen
 class SlowSearchers:
     """These searchers are slow for several entries; avoid them that long."""
 
@@ -155,14 +155,14 @@
 # Inside a process.
 
 
-@attrs.frozen
+@values.frozen
 class SlowSeen:
     """A send took several times the usual of its route."""
 
     searcher: SearcherKey
 
 
-@attrs.frozen
+@values.frozen
 class Announced:
     """A searcher announced itself here.
 
@@ -174,7 +174,7 @@
     row: SearcherRow
 
 
-@attrs.frozen
+@values.frozen
 class Leaving:
     """A searcher says that it ends; it may serve a little longer.
 
@@ -187,35 +187,35 @@
     start: int | None = None
 
 
-@attrs.frozen
+@values.frozen
 class AnnouncementTaken:
     """The announcement may be acknowledged now."""
 
     token: object
 
 
-@attrs.frozen
+@values.frozen
 class LinkUp:
     """A link to a process of ours works; ``name`` is that process."""
 
     name: str
 
 
-@attrs.frozen
+@values.frozen
 class LinkDown:
     """The link to a process of ours is gone."""
 
     name: str
 
 
-@attrs.frozen
+@values.frozen
 class SearcherLearnt:
     """An entry's view of a searcher is new or has changed."""
 
     row: SearcherRow
 
 
-@attrs.frozen
+@values.frozen
 class DocumentLearnt:
     """A newer document reached this entry."""
 
@@ -223,7 +223,7 @@
     packed: bytes
 
 
-@attrs.frozen
+@values.frozen
 class ReadyChanged:
     """Whether this entry may be given to callers."""
 
--- a/greengagemoor/feed/rows.py
+++ b/greengagemoor/feed/rows.py
@@ -33,7 +33,7 @@
     return known
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _Told:
     row: SearcherRow
     until: float
--- a/greengagemoor/feed/slowness.py
+++ b/greengagemoor/feed/slowness.py
@@ -22,7 +22,7 @@
 twice as long."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _Slow:
     slices: set[int] = attrs.field(factory=set)
     avoid_s: float = FIRST_AVOID_S
--- a/greengagemoor/feed/subscribers.py
+++ b/greengagemoor/feed/subscribers.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from greengagemoor.util import values
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -18,7 +20,7 @@
 """How long an entry counts for connection shares after it was last heard."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _Subscriber:
     subscribe: Subscribe
     taken: int = 0
@@ -28,7 +30,7 @@
         return bool(self.subscribe.address)
 
 
-@attrs.frozen
+@values.frozen
 class _Waiting:
     token: object
     number: int
--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -32,13 +32,13 @@
 after one has confirmed the document."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _Source:
     whole: bool = False
     document: int = 0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _Fetch:
     source: str
     again_at: float
@@ -201,7 +201,8 @@
             return
         self._report_at = self._now + REPORT_EVERY_S
         if self._sources:
-            report = m.SlowReport(tuple(sorted(self._slow_seen)))
+            seen = sorted(self._slow_seen, key=lambda key: key.searcher_id)
+            report = m.SlowReport(tuple(seen))
             self._out.append(Send(min(self._sources), report))
         self._slow_seen.clear()
 
--- a/greengagemoor/forward/budget.py
+++ b/greengagemoor/forward/budget.py
@@ -15,14 +15,14 @@
 use, less what they leave of the ratio, is the whole allowance."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _Slice:
     number: int
     requests: int = 0
     sends: int = 0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class SendBudget:
     """An allowance for each window of time, of requests that came here.
 
--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -5,9 +5,8 @@
 import math
 from typing import TYPE_CHECKING
 
-import attrs
-
 from greengagemoor.feed.messages import SearcherState, SlowSeen
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from greengagemoor.forward.messages import SearcherLoad
@@ -45,7 +44,7 @@
 """A searcher that answered so lately is alive, whoever says it is lost."""
 
 
-@attrs.frozen
+@values.frozen
 class Choice:
     """A searcher, and the expected time in medians of the route."""
 
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -5,7 +5,7 @@
 import enum
 from typing import TYPE_CHECKING
 
-import attrs
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from greengagemoor.routing.routes import Route
@@ -61,7 +61,7 @@
     ENDED = "ended"
 
 
-@attrs.frozen
+@values.frozen
 class Step:
     """One decision, with what decided it.
 
@@ -88,7 +88,7 @@
 # In.
 
 
-@attrs.frozen
+@values.frozen
 class Arrived:
     """A caller's request that has a route.
 
@@ -103,14 +103,14 @@
     patience_s: float | None
 
 
-@attrs.frozen
+@values.frozen
 class CallerGone:
     """The caller closed its connection before its answer."""
 
     token: int
 
 
-@attrs.frozen
+@values.frozen
 class SearcherLoad:
     """A searcher's own count of requests, at its last answer."""
 
@@ -120,7 +120,7 @@
     work_percent: int = 100
 
 
-@attrs.frozen
+@values.frozen
 class SearcherAnswer:
     """A whole answer of a searcher.
 
@@ -141,7 +141,7 @@
     closes: bool = False
 
 
-@attrs.frozen
+@values.frozen
 class AttemptEnded:
     """A send ended.
 
@@ -161,7 +161,7 @@
 # Out.
 
 
-@attrs.frozen
+@values.frozen
 class StartAttempt:
     """Send the caller's request to a searcher."""
 
@@ -173,21 +173,21 @@
     deadline: float
 
 
-@attrs.frozen
+@values.frozen
 class CancelAttempt:
     """Close the connection of this send; the searcher drops the request."""
 
     attempt_id: int
 
 
-@attrs.frozen
+@values.frozen
 class CloseIdle:
     """Close the idle connections to this address: their process has ended."""
 
     address: str
 
 
-@attrs.frozen
+@values.frozen
 class Merged:
     """The answer to a gather.
 
@@ -200,7 +200,7 @@
     missing: int
 
 
-@attrs.frozen
+@values.frozen
 class Respond:
     """The final answer to a request.
 
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -12,6 +12,7 @@
 from greengagemoor.feed.messages import SearcherKey, SearcherState
 from greengagemoor.forward.budget import SendBudget
 from greengagemoor.forward.timing import RouteTimes, Slowness
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,7 +21,7 @@
     from greengagemoor.routing.routes import Route
 
 
-@attrs.frozen
+@values.frozen
 class Policy:
     """Limits and delays of the forward decider; times in seconds.
 
@@ -52,7 +53,7 @@
     places: int = 10
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Searcher:
     """One start of a searcher, as this entry sees it.
 
@@ -90,7 +91,7 @@
         return SearcherKey(self.searcher_id, self.start)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Attempt:
     """One send that has not ended."""
 
@@ -101,7 +102,7 @@
     is_second: bool
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Leg:
     """What a request wants from one service.
 
@@ -131,7 +132,7 @@
         return self.answer is None and not self.dead
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Request:
     """A caller's request until its answer.
 
@@ -156,7 +157,7 @@
         return sum(leg.sends for leg in self.legs)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Tables:
     """All state of the decider and its output of a tick."""
 
--- a/greengagemoor/forward/timing.py
+++ b/greengagemoor/forward/timing.py
@@ -53,7 +53,7 @@
         return self.quantile(0.5)
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Slowness:
     """How much longer a searcher takes than the route's median, smoothed.
 
--- a/greengagemoor/logfields.py
+++ b/greengagemoor/logfields.py
@@ -70,6 +70,7 @@
     "searcher": "a searcher's id",
     "service": "a service; of a gather: a shard",
     "state": "ready, draining, gone (its own words) or lost (not heard)",
+    "start": "when a searcher started, in Unix ms of its own clock, or 0",
     "sequence": "grows with each announcement of one start",
     "request_id": "the caller's id of one attempt",
     "route": "name of the route",
--- a/greengagemoor/platform/__main__.py
+++ b/greengagemoor/platform/__main__.py
@@ -5,16 +5,17 @@
 import sys
 
 from greengagemoor.aio import sockets
-from greengagemoor.platform.boot import boot_path, read_boot
+from greengagemoor.platform import boot
 
 
 def main() -> None:
     """Runs the role that the first argument names."""
-    cfg = read_boot(boot_path())
-    address = cfg.caller_address
+    path = boot.boot_path()
+    address = boot.read_caller_address(path)
     listener = sockets.listen(address) if address else None
-    # Most of a start goes into this import. Callers that come meanwhile wait
+    # Most of a start goes into what follows. Callers that come meanwhile wait
     # in the queue of the socket, where each would be refused twice and fail.
+    cfg = boot.read_boot(path)
     from greengagemoor.platform.program import run
 
     run(sys.argv[1], cfg, listener)
--- a/greengagemoor/platform/boot.py
+++ b/greengagemoor/platform/boot.py
@@ -4,11 +4,15 @@
 
 import os
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from greengagemoor.errors import SettingsError
-from greengagemoor.serving.settings import ServingSettings
+
+if TYPE_CHECKING:
+    from greengagemoor.serving.settings import ServingSettings
 
 BOOT_VARIABLE = "GREENGAGEMOOR_BOOT"
+CALLER_ADDRESS = "listen-addrs.front"
 METRICS_PORT = 9464
 """As in the deploy file, which names it to the platform."""
 DEFAULT_PATH = "/etc/greengagemoor/boot.conf"
@@ -19,6 +23,19 @@
     return Path(os.environ.get(BOOT_VARIABLE, DEFAULT_PATH))
 
 
+def read_caller_address(path: Path) -> str:
+    """Reads where callers reach this process; '' if none do or none says.
+
+    It needs no more of this package than its name: a process listens with it
+    before it takes the time to import the rest.
+    """
+    try:
+        return _fields(path.read_text()).get(CALLER_ADDRESS, "")
+    except (OSError, ValueError):
+        # The whole file is read next, and tells what is wrong with it.
+        return ""
+
+
 def read_boot(path: Path) -> ServingSettings:
     """Reads the settings of this process.
 
@@ -41,6 +58,8 @@
 
 
 def _build(fields: dict[str, str]) -> ServingSettings:
+    from greengagemoor.serving.settings import ServingSettings
+
     ip = fields["ip"]
     peer_port = fields["internal-port-range"].partition(",")[0]
     seeds = (s for s in fields["seed-addrs"].split(",") if s)
@@ -52,7 +71,7 @@
         # everywhere.
         seeds=tuple(f"{s.partition(':')[0]}:{peer_port}" for s in seeds),
         new_group=fields.get("bootstrap") == "true",
-        caller_address=fields.get("listen-addrs.front", ""),
+        caller_address=fields.get(CALLER_ADDRESS, ""),
         health_address=fields.get("listen-addrs.ready", ""),
         control_address=fields.get("listen-addrs.control", ""),
         directory_address=fields.get("listen-addrs.directory", ""),
--- a/greengagemoor/routing/routes.py
+++ b/greengagemoor/routing/routes.py
@@ -9,6 +9,7 @@
 import attrs
 
 from greengagemoor.errors import DocumentError
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -21,7 +22,7 @@
     ONCE_PER_ATTEMPT = "once_per_attempt"
 
 
-@attrs.frozen
+@values.frozen
 class WeightedService:
     """One part of a split; requests go to it in proportion to its weight."""
 
@@ -29,7 +30,7 @@
     weight: float = 1.0
 
 
-@attrs.frozen
+@values.frozen
 class Gather:
     """A query over several services, each of them one shard.
 
@@ -43,7 +44,7 @@
     least_coverage: float
 
 
-@attrs.frozen
+@values.frozen
 class Route:
     """Rules for the requests of one host and path prefix.
 
@@ -74,7 +75,7 @@
         return tuple(part.service for part in self.split)
 
 
-@attrs.frozen
+@values.frozen
 class ServiceRules:
     """What holds for each searcher of a service."""
 
@@ -82,7 +83,7 @@
     connection_cap: int
 
 
-@attrs.frozen
+@values.frozen
 class CallerLimits:
     """Bounds on what callers send; times in seconds."""
 
@@ -92,7 +93,7 @@
     idle_timeout_s: float = 15.0
 
 
-@attrs.frozen
+@values.frozen
 class RouteTable:
     """All routes of one document version."""
 
--- a/greengagemoor/serving/dialect.py
+++ b/greengagemoor/serving/dialect.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-import attrs
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from greengagemoor.aio.client import Headers, HttpAnswer
@@ -17,7 +17,7 @@
     from greengagemoor.routing.routes import RouteTable
 
 
-@attrs.frozen
+@values.frozen
 class Reply:
     """An HTTP answer of ours."""
 
@@ -26,7 +26,7 @@
     body: bytes = b""
 
 
-@attrs.frozen
+@values.frozen
 class CallerWords:
     """What a caller's request says of itself."""
 
@@ -35,7 +35,7 @@
     patience_s: float | None
 
 
-@attrs.frozen
+@values.frozen
 class SearcherWords:
     """What a searcher's answer says."""
 
@@ -44,14 +44,14 @@
     reason: str = ""
 
 
-@attrs.frozen
+@values.frozen
 class AnnounceCall:
     """A searcher announces itself."""
 
     row: SearcherRow
 
 
-@attrs.frozen
+@values.frozen
 class LeaveCall:
     """A searcher ends.
 
@@ -63,19 +63,19 @@
     start: int | None = None
 
 
-@attrs.frozen
+@values.frozen
 class PutCall:
     """An operator puts a document."""
 
     body: bytes
 
 
-@attrs.frozen
+@values.frozen
 class ReadCall:
     """An operator reads the document in force."""
 
 
-@attrs.frozen
+@values.frozen
 class FindEntriesCall:
     """A caller asks where to connect."""
 
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -294,6 +294,7 @@
 
     def _sweep(self) -> None:
         self._pool.sweep()
+        self._metrics.fill()
         asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
 
--- a/greengagemoor/serving/metrics.py
+++ b/greengagemoor/serving/metrics.py
@@ -5,13 +5,13 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
-
 from greengagemoor.serving.dialect import Reply
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from hdrh.histogram import HdrHistogram
+
     from greengagemoor.aio.server import HttpRequest
     from greengagemoor.forward.messages import Respond
 
@@ -37,6 +37,8 @@
         """
         self._gauges = gauges
         self._latency: dict[str, HdrHistogram] = {}
+        self._times: list[tuple[str, int]] = []
+        self._names: set[str] = set()
         self._endings: Counter[tuple[str, str]] = Counter()
         self._totals: Counter[str] = Counter()
 
@@ -44,7 +46,7 @@
         """Counts a final answer."""
         series = self._series(msg.route.name)
         elapsed = max(1, min(int(msg.elapsed_s * MICROSECONDS), LONGEST_US))
-        self._latency[series].record_value(elapsed)
+        self._times.append((series, elapsed))
         self._endings[(series, msg.ending.value)] += 1
         services = len(msg.route.services) if msg.route.gather else 1
         self._totals["sends_total"] += msg.sends
@@ -53,14 +55,29 @@
             self._totals["missing_shards_total"] += msg.merged.missing
 
     def _series(self, route: str) -> str:
-        if route in self._latency:
-            return route
-        name = route if len(self._latency) < MOST_SERIES else OTHERS
-        self._latency.setdefault(name, HdrHistogram(1, LONGEST_US, DIGITS))
-        return name
+        if len(self._names) < MOST_SERIES:
+            self._names.add(route)
+        return route if route in self._names else OTHERS
+
+    def fill(self) -> None:
+        """Puts the times noted so far into the histograms.
+
+        The library is loaded with the first of them: not before callers are
+        served, and not at all in a process that serves none.
+        """
+        if not self._times:
+            return
+        from hdrh.histogram import HdrHistogram
+
+        for series, elapsed in self._times:
+            if series not in self._latency:
+                self._latency[series] = HdrHistogram(1, LONGEST_US, DIGITS)
+            self._latency[series].record_value(elapsed)
+        self._times.clear()
 
     def text(self) -> str:
         """Returns everything in the Prometheus text form."""
+        self.fill()
         return "\n".join(self._lines()) + "\n"
 
     def _lines(self) -> Iterator[str]:
--- a/greengagemoor/storage/folder.py
+++ b/greengagemoor/storage/folder.py
@@ -5,13 +5,13 @@
 import fcntl
 import json
 import os
-import secrets
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from greengagemoor.errors import FolderLockedError, FolderMismatchError
+from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from typing import IO
@@ -22,7 +22,7 @@
 IDENTITY_BYTES = 8
 
 
-@attrs.frozen
+@values.frozen
 class FolderFormat:
     """What a folder says of itself.
 
@@ -95,7 +95,7 @@
                 f"{self.path} has no {FORMAT_FILE} but holds {strangers[:3]}"
             )
         made = FolderFormat(
-            FORMAT_VERSION, owner, secrets.token_hex(IDENTITY_BYTES)
+            FORMAT_VERSION, owner, os.urandom(IDENTITY_BYTES).hex()
         )
         self.write_whole(file.name, json.dumps(attrs.asdict(made)).encode())
         return made
--- a/greengagemoor/storage/records.py
+++ b/greengagemoor/storage/records.py
@@ -8,9 +8,8 @@
 import struct
 import zlib
 
-import attrs
-
 from greengagemoor.errors import CorruptRecordError
+from greengagemoor.util import values
 
 MAGIC = b"GGM1"
 _HEADER = struct.Struct(">4sII")
@@ -22,7 +21,7 @@
     return _HEADER.pack(MAGIC, len(payload), zlib.crc32(payload)) + payload
 
 
-@attrs.frozen
+@values.frozen
 class Scan:
     """What a file holds.
 
--- a/greengagemoor/util/linebudget.py
+++ b/greengagemoor/util/linebudget.py
@@ -5,7 +5,7 @@
 import attrs
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class LineBudget:
     """A token bucket for lines; what is over it is dropped and counted.
 
--- a/greengagemoor/wire/codec.py
+++ b/greengagemoor/wire/codec.py
@@ -13,6 +13,7 @@
 from google.protobuf.message import DecodeError
 
 from greengagemoor.errors import WireError
+from greengagemoor.util import values
 from greengagemoor.wire import peers_pb2 as pb
 
 if TYPE_CHECKING:
@@ -61,7 +62,7 @@
     return {field.name: field.message_type.name for field in fields}
 
 
-@attrs.frozen
+@values.frozen
 class _Field:
     """How one attrs field is converted.
 
