Try: a third send where a request has run; a failed second send is replaced

A third send to a searcher that has run it is allowed, and a shard without allowance can wait for some.

--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -107,7 +107,8 @@
     """What a request wants from one service.
 
     Attributes:
-        runs: sends that may have run.
+        ran: who may have run it, once for each send.
+        last_ended: whose send ended last.
         dead: nothing more will be sent, and no send is under way.
     """
 
@@ -115,8 +116,9 @@
     service: str
     attempts: list[Attempt] = attrs.field(factory=list)
     asked: list[Searcher] = attrs.field(factory=list)
-    runs: int = 0
+    ran: list[Searcher] = attrs.field(factory=list)
     sends: int = 0
+    last_ended: Searcher | None = None
     first_sent_at: float = 0.0
     answer: SearcherAnswer | None = None
     answered_by: str = ""
@@ -126,6 +128,11 @@
     dead: bool = False
     broken: bool = False
 
+    @property
+    def runs(self) -> int:
+        """How many sends may have run."""
+        return len(self.ran)
+
     @property
     def is_open(self) -> bool:
         """Whether an answer may still come."""
