--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -9,8 +9,6 @@
 from greengagemoor.util import values
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from greengagemoor.forward.messages import SearcherLoad
     from greengagemoor.forward.tables import Leg, Searcher, Tables
 
@@ -60,21 +58,9 @@
     A searcher that was asked before for this leg is left out.
     """
     rows = tables.by_service.get(leg.service, ())
-    return _cheapest(tables, leg, (r for r in rows if r not in leg.asked))
-
-
-def choose_asked(tables: Tables, leg: Leg) -> Choice | None:
-    """Returns the cheapest of those that may have run the leg and don't now."""
-    running = {attempt.searcher for attempt in leg.attempts}
-    rows = tables.by_service.get(leg.service, ())
-    ran = (r for r in rows if r in leg.ran and r not in running)
-    return _cheapest(tables, leg, ran)
-
-
-def _cheapest(
-    tables: Tables, leg: Leg, rows: Iterable[Searcher]
-) -> Choice | None:
-    fit = [row for row in rows if is_usable(tables, row)]
+    fit = [
+        row for row in rows if row not in leg.asked and is_usable(tables, row)
+    ]
     free = [row for row in fit if len(row.attempts) < row.cap]
     if not free:
         return None
--- a/greengagemoor/forward/completion.py
+++ b/greengagemoor/forward/completion.py
@@ -5,7 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from greengagemoor.forward import choosing, ended, sending
+from greengagemoor.forward import ended, sending
 from greengagemoor.forward.mergers import GREATEST_RECORDS, mergers
 from greengagemoor.forward.messages import (
     Ending,
@@ -174,35 +174,9 @@
 
 
 def end_leg(tables: Tables, leg: Leg, outcome: Outcome, *, stale: bool) -> None:
-    """Goes on after a send ended: again, later, or the leg is given up."""
+    """Goes on after a send ended: again, or the leg is given up."""
     if leg.answer is None and not sending.repeat(
         tables, leg, outcome, stale=stale
     ):
-        if _may_wait(tables, leg, outcome):
-            at = tables.now + sending.LOOK_AGAIN_S
-            tables.set_timer(at, partial(_end_again, tables, leg, outcome))
-        else:
-            leg.dead = True
+        leg.dead = True
     look(tables, leg.request)
-
-
-def _may_wait(tables: Tables, leg: Leg, outcome: Outcome) -> bool:
-    """Whether a shard may still be asked before its answer would be partial.
-
-    Without allowance for one more send at this moment a shard was given up,
-    with most of the objective left in which allowance grows.
-    """
-    request = leg.request
-    lost = outcome is Outcome.BROKEN and request.route.attempts > 1
-    return (
-        request.route.gather is not None
-        and leg.sends < sending.MOST_SENDS
-        and tables.now + sending.LOOK_AGAIN_S < request.give_at
-        and (sending.may_send_more(tables, leg) or lost)
-        and choosing.has_usable(tables, leg.service)
-    )
-
-
-def _end_again(tables: Tables, leg: Leg, outcome: Outcome) -> None:
-    if leg.is_open and not leg.attempts and not leg.request.done:
-        end_leg(tables, leg, outcome, stale=False)
--- a/greengagemoor/forward/ended.py
+++ b/greengagemoor/forward/ended.py
@@ -20,7 +20,6 @@
     leg, searcher = attempt.leg, attempt.searcher
     searcher.attempts.pop(msg.attempt_id, None)
     leg.attempts.remove(attempt)
-    leg.last_ended = searcher
     _note_end(tables, attempt, _words(msg))
     if msg.answer is not None and msg.answer.load is not None:
         choosing.note_load(tables, searcher, msg.answer.load)
@@ -30,7 +29,7 @@
         Outcome.NOT_SENT,
         Outcome.WRONG_SEARCHER,
     ):
-        leg.ran.remove(searcher)
+        leg.runs -= 1
     if msg.outcome is Outcome.ANSWERED:
         _take_answer(tables, attempt, msg.answer)
     elif msg.outcome is Outcome.BROKEN:
--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -52,7 +52,7 @@
         leg.first_sent_at = tables.now
     leg.attempts.append(attempt)
     leg.asked.append(searcher)
-    leg.ran.append(searcher)
+    leg.runs += 1
     leg.sends += 1
     tables.out.append(
         StartAttempt(
@@ -169,27 +169,23 @@
     Returns:
         Whether the leg goes on: by a new send, or by one still under way.
     """
-    goes_on = bool(leg.attempts) or leg.waiting
-    if goes_on and outcome is Outcome.ANSWERED:
+    if leg.attempts or leg.waiting:
         return True
-    if _is_over(leg, outcome):
-        return goes_on
+    if leg.broken and leg.request.route.grade is not Grade.REPEATABLE:
+        return False
+    if outcome is Outcome.ANSWERED and (
+        leg.request.route.grade is not Grade.REPEATABLE
+    ):
+        return False
     if stale and _send_afresh(tables, leg):
         return True
     if not may_send_more(tables, leg):
-        return _send_where_it_ran(tables, leg, outcome) or goes_on
+        return False
     if not _may_repeat(tables, leg, outcome, stale=stale):
-        return goes_on
-    if send(tables, leg, second=goes_on):
-        return True
-    return goes_on or _send_to_asked(tables, leg, outcome)
-
-
-def _is_over(leg: Leg, outcome: Outcome) -> bool:
-    """Whether the leg may have run where that may happen once only."""
-    if leg.request.route.grade is Grade.REPEATABLE:
         return False
-    return leg.broken or outcome is Outcome.ANSWERED
+    if send(tables, leg):
+        return True
+    return _send_to_asked(tables, leg, outcome)
 
 
 def _may_repeat(
@@ -213,7 +209,7 @@
     It is counted as a second send, as a searcher that has the request and
     breaks off looks the same: uncounted, 244 were sent where 242 are allowed.
     """
-    row = leg.last_ended
+    row = leg.asked[-1]
     if tables.searchers.get(row.searcher_id) is not row:
         return False
     if not choosing.is_usable(tables, row):
@@ -221,28 +217,9 @@
     if leg.sends >= MOST_SENDS or tables.now >= leg.request.ends_at:
         return False
     tables.budget_of(leg.service).count(tables.now)
-    leg.ran.remove(row)
-    again = choosing.Choice(row, 0.0)
-    _send_to(tables, leg, again, second=bool(leg.attempts))
-    return True
-
-
-def _send_where_it_ran(tables: Tables, leg: Leg, outcome: Outcome) -> bool:
-    """Sends once more to a searcher that lost its answer.
-
-    The route bounds how many searchers may run a request. When as many have
-    lost their answers, the shard would be missing 10 ms after the request
-    came, with nearly all of the objective left: most answers get through.
-    """
-    route = leg.request.route
-    if outcome is not Outcome.BROKEN or route.attempts < 2:
-        return False
-    if leg.sends >= MOST_SENDS or tables.now >= leg.request.ends_at:
-        return False
-    choice = choosing.choose_asked(tables, leg)
-    if choice is None or not tables.budget_of(leg.service).take(tables.now):
-        return False
-    _send_to(tables, leg, choice, second=bool(leg.attempts))
+    leg.runs -= 1
+    leg.asked.pop()
+    _send_to(tables, leg, choosing.Choice(row, 0.0))
     return True
 
 
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -107,8 +107,7 @@
     """What a request wants from one service.
 
     Attributes:
-        ran: who may have run it, once for each send.
-        last_ended: whose send ended last.
+        runs: sends that may have run.
         dead: nothing more will be sent, and no send is under way.
     """
 
@@ -116,9 +115,8 @@
     service: str
     attempts: list[Attempt] = attrs.field(factory=list)
     asked: list[Searcher] = attrs.field(factory=list)
-    ran: list[Searcher] = attrs.field(factory=list)
+    runs: int = 0
     sends: int = 0
-    last_ended: Searcher | None = None
     first_sent_at: float = 0.0
     answer: SearcherAnswer | None = None
     answered_by: str = ""
@@ -128,11 +126,6 @@
     dead: bool = False
     broken: bool = False
 
-    @property
-    def runs(self) -> int:
-        """How many sends may have run."""
-        return len(self.ran)
-
     @property
     def is_open(self) -> bool:
         """Whether an answer may still come."""
