--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -198,10 +198,6 @@
         self._server: asyncio.Server | None = None
         self._outbox: dict[str, list] = {}
 
-    def names(self) -> list[str]:
-        """Returns the processes that can be sent to."""
-        return list(self._by_name)
-
     def now(self) -> float:
         """Returns the loop's time in seconds."""
         return self._loop.time()
--- a/greengagemoor/control/decider.py
+++ b/greengagemoor/control/decider.py
@@ -66,11 +66,10 @@
 class ControlDecider:
     """One member: elections, replication, documents and the ledger.
 
-    Messages in: ``Received``, ``Reachable``, ``Persisted``,
-    ``PersistFailed`` and once, first, ``Recovered``. Messages out: ``Send``,
-    ``Persist``, ``DocumentAccepted``, ``Confirmed``. After ``PersistFailed``
-    it stays silent: what it wrote may be lost, and a restart must find out
-    what is left.
+    Messages in: ``Received``, ``Persisted``, ``PersistFailed`` and once, first,
+    ``Recovered``. Messages out: ``Send``, ``Persist``, ``DocumentAccepted``,
+    ``Confirmed``. After ``PersistFailed`` it stays silent: what it wrote may
+    be lost, and a restart must find out what is left.
     """
 
     def __init__(
@@ -154,8 +153,6 @@
         elif isinstance(msg, m.Persisted):
             self._release(note_synced(state, msg.op))
             replication.commit_by_quorum(state)
-        elif isinstance(msg, m.Reachable):
-            election.note_reachable(state, msg.instance)
         elif isinstance(msg, m.Recovered):
             self._recover(msg)
 
--- a/greengagemoor/control/election.py
+++ b/greengagemoor/control/election.py
@@ -17,12 +17,6 @@
 its start: some ten round trips for a group in one region. What happens to come
 at the same moment costs one more such wait."""
 
-SOON_SHARE = 0.025
-"""Part of the election time from the moment at which another voter can be
-reached to the pre-vote of the first member in order; each further one waits as
-long again. It is about what a vote takes with its syncs: by lot within as much,
-five members that came back together split their votes."""
-
 
 def become_follower(state: State, term: int, leader: str = "") -> None:
     """Follows; whoever waits for this member as a leader is told."""
@@ -76,28 +70,6 @@
         state.election_at = state.now + wait
 
 
-def note_reachable(state: State, instance: str) -> None:
-    """Asks for votes soon, if a voter that came back may be the missing one.
-
-    After a kill of all members their links stood 60 ms before any election
-    time was over. A vote under way is left to end: begun anew, its answers
-    would not count.
-    """
-    voters = (m.instance for m in state.members.values() if m.voter)
-    waits = state.role is Role.FOLLOWER or (
-        state.role is Role.CANDIDATE and state.pre_vote
-    )
-    if (
-        waits
-        and state.is_voter
-        and state.heard_leader_at == float("-inf")
-        and instance in voters
-    ):
-        rank = sorted(state.voters).index(state.member_id)
-        soon = state.timing.election * SOON_SHARE * (1 + rank)
-        state.election_at = min(state.election_at, state.now + soon)
-
-
 def _check_quorum(state: State) -> None:
     """Steps down without recent replies from a quorum.
 
--- a/greengagemoor/control/messages.py
+++ b/greengagemoor/control/messages.py
@@ -213,13 +213,6 @@
     reason: str
 
 
-@values.frozen
-class Reachable:
-    """Another control instance can be sent to from now on."""
-
-    instance: str
-
-
 @values.frozen
 class Recovered:
     """What the data folder held at start."""
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -120,8 +120,6 @@
             new_group=founds,
         )
         self._ticker.put(recovered)
-        for name in self._links.names():
-            self._ticker.put(control.Reachable(name))
 
     def reload(self, cfg: ServingSettings) -> None:
         """Takes in changed settings: new seeds are dialled beside the old."""
@@ -209,11 +207,6 @@
         out = []
         if self._decider is not None:
             mine = [msg for msg in batch if inboxes.is_for_decider(msg)]
-            mine += [
-                control.Reachable(msg.name)
-                for msg in batch
-                if isinstance(msg, feed.LinkUp)
-            ]
             out += self._decider.step(now, mine)
             self._follow_members()
             self._tell_beliefs()
--- a/greengagemoor/serving/inboxes.py
+++ b/greengagemoor/serving/inboxes.py
@@ -13,7 +13,6 @@
     feed.SlowReport,
     feed.WantNumbered,
 )
-_MEMBER_MESSAGES = (control.Persisted, control.Reachable, control.Recovered)
 _HUB_MESSAGES = (
     feed.Announced,
     feed.Leaving,
@@ -27,7 +26,7 @@
     """Whether the control group's member takes it."""
     if isinstance(msg, control.Received):
         return isinstance(msg.payload, control.MEMBER_PAYLOADS)
-    return isinstance(msg, _MEMBER_MESSAGES)
+    return isinstance(msg, (control.Persisted, control.Recovered))
 
 
 def is_for_hub(msg: object) -> bool:
