--- a/bench/gather_model.py
+++ b/bench/gather_model.py
@@ -1,4 +1,4 @@
-"""Sheets of both users, and searchers as they describe them."""
+"""Sheets of the users, and searchers as they describe them."""
 
 from __future__ import annotations
 
@@ -100,8 +100,22 @@
         pause_every_s=3.0,
         slack=56.0,
     ),
+    Sheet(
+        "lockers",
+        entries=8,
+        shards=10,
+        slots=3,
+        cap=31,
+        kinds=(
+            Kind("sweep", 67.6, 0.0225, 0.145, 0.8, 0.89),
+            Kind("code", 22.5, 0.0075, 0.0683, 0.3, 0.75),
+        ),
+        pause_s=0.15,
+        pause_every_s=3.6,
+        slack=56.0,
+    ),
 )
-"""Both users' sheets; of the grown one the objectives are less what a gather
+"""The users' sheets; of the grown one the objectives are less what a gather
 takes on an entry's link of 7 Mbit/s."""
 
 
--- a/greengagemoor/cmd/ctl.py
+++ b/greengagemoor/cmd/ctl.py
@@ -57,6 +57,7 @@
 
 app.command("explain")(logs.explain_command)
 app.command("timeline")(logs.timeline_command)
+app.command("losses")(logs.losses_command)
 
 At = Annotated[
     str,
--- a/greengagemoor/cmd/logs.py
+++ b/greengagemoor/cmd/logs.py
@@ -10,6 +10,7 @@
 
 from greengagemoor.logreading.explain import explain
 from greengagemoor.logreading.lines import LogLine, merge, read_lines
+from greengagemoor.logreading.losses import find_losses, tell
 from greengagemoor.logreading.timeline import disagreements, timeline
 
 Files = Annotated[
@@ -44,6 +45,12 @@
         typer.echo(f"disagreement: {text}")
 
 
+def losses_command(files: Files = None) -> None:
+    """Tells what callers lost, by cause and by second."""
+    for text in tell(find_losses(_read(files))):
+        typer.echo(text)
+
+
 def _read(files: list[Path] | None) -> list[LogLine]:
     if not files:
         return merge([read_lines(sys.stdin)])
