What is learnt of searchers stands in a module of its own

Moved as it was: rows, new starts, slowness that others see, shares of connections. No decision changed; the tests of forward, feed and the model pass unchanged.

--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -6,26 +6,24 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from greengagemoor.feed.messages import (
-    SearcherLearnt,
-    SearcherState,
-    SlowSearchers,
+from greengagemoor.feed.messages import SearcherLearnt, SlowSearchers
+from greengagemoor.forward import (
+    choosing,
+    completion,
+    ended,
+    searchers,
+    sending,
 )
-from greengagemoor.forward import choosing, completion, ended, sending
 from greengagemoor.forward.messages import (
     Arrived,
     AttemptEnded,
     CallerGone,
-    CancelAttempt,
-    CloseIdle,
     Ending,
-    Outcome,
 )
 from greengagemoor.forward.tables import (
     Leg,
     Policy,
     Request,
-    Searcher,
     Tables,
 )
 
@@ -33,7 +31,6 @@
     import random
     from collections.abc import Iterable
 
-    from greengagemoor.feed.messages import SearcherRow
     from greengagemoor.routing.routes import RouteTable
 
 END_MARGIN_S = 0.01
@@ -83,36 +80,22 @@
 
     def set_routes(self, table: RouteTable) -> None:
         """Takes in the connection caps of a new document."""
-        tables = self.tables
-        tables.caps = {
+        self.tables.caps = {
             rules.name: rules.connection_cap
             for rules in table.services.values()
         }
-        for searcher in tables.searchers.values():
-            searcher.cap = self._cap(searcher.service)
+        searchers.set_caps(self.tables)
 
     def set_entries(self, number: int) -> None:
         """Takes in how many entries share each searcher."""
         if number <= self.tables.entries:
             return
         self.tables.entries = number
-        for searcher in self.tables.searchers.values():
-            searcher.cap = self._cap(searcher.service)
+        searchers.set_caps(self.tables)
         slack = self.tables.policy.retry_slack / self.tables.sharers
         for budget in self.tables.budgets.values():
             budget.slack = slack
 
-    def _cap(self, service: str) -> int:
-        """Returns this entry's share of a searcher's connections.
-
-        A searcher resets connections beyond its cap. The share is a fixed
-        part, by a number of entries that only grows, so that a cut that hides
-        entries can't raise it.
-        """
-        tables = self.tables
-        cap = tables.caps.get(service, tables.sharers)
-        return max(1, cap // tables.sharers)
-
     def gauges(self) -> dict[str, float]:
         """Returns numbers of the moment, for metrics."""
         tables = self.tables
@@ -143,9 +126,10 @@
             if request is not None:
                 completion.finish(self.tables, request, Ending.CALLER_GONE)
         elif isinstance(msg, SearcherLearnt):
-            self._take_searcher(msg.row)
+            for ended_msg in searchers.take(self.tables, msg.row):
+                self._take_ended(ended_msg)
         elif isinstance(msg, SlowSearchers):
-            self._take_slow(msg)
+            searchers.take_slow(self.tables, msg)
 
     def _take_ended(self, msg: AttemptEnded) -> None:
         leg = ended.take_ended(self.tables, msg)
@@ -255,60 +239,3 @@
             completion.finish(self.tables, request, Ending.NO_ANSWER)
         else:
             completion.finish(self.tables, request, Ending.NOT_RUN_BUSY)
-
-    def _take_slow(self, msg: SlowSearchers) -> None:
-        for key in msg.searchers:
-            searcher = self.tables.searchers.get(key.searcher_id)
-            if searcher is not None and searcher.start == key.start:
-                searcher.slow_until = self.tables.now + msg.for_s
-
-    def _take_searcher(self, row: SearcherRow) -> None:
-        searcher = self.tables.searchers.get(row.searcher_id)
-        if searcher is not None and searcher.start != row.start:
-            self._take_new_start(searcher, row)
-            return
-        if searcher is None:
-            if row.state is SearcherState.GONE or not row.address:
-                return
-            searcher = self._add(row)
-        searcher.state = row.state
-        if row.state is SearcherState.READY:
-            searcher.cold_until = self.tables.now + row.cold_left_s
-        if row.state is SearcherState.GONE:
-            self._remove(searcher)
-
-    def _take_new_start(self, old: Searcher, row: SearcherRow) -> None:
-        """Forgets what was known of a searcher that has started again.
-
-        The new process knows nothing of what ran at the old one, so those
-        sends would never be answered. They may have run: only what may be
-        repeated goes out again.
-        """
-        tables = self.tables
-        self._remove(old)
-        self._take_searcher(row)
-        tables.out.append(CloseIdle(old.address))
-        for attempt_id in list(old.attempts):
-            tables.out.append(CancelAttempt(attempt_id))
-            reason = "the searcher has started again"
-            self._take_ended(
-                AttemptEnded(attempt_id, Outcome.BROKEN, reason=reason)
-            )
-
-    def _add(self, row: SearcherRow) -> Searcher:
-        searcher = Searcher(
-            searcher_id=row.searcher_id,
-            service=row.service,
-            address=row.address,
-            data_centre=row.data_centre,
-            state=row.state,
-            slots=max(1, row.slots),
-            start=row.start,
-            cap=self._cap(row.service),
-        )
-        sending.add_searcher(self.tables, searcher)
-        return searcher
-
-    def _remove(self, searcher: Searcher) -> None:
-        del self.tables.searchers[searcher.searcher_id]
-        self.tables.by_service[searcher.service].remove(searcher)
--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -18,7 +18,7 @@
 from greengagemoor.routing.routes import Grade
 
 if TYPE_CHECKING:
-    from greengagemoor.forward.tables import Leg, Searcher, Tables
+    from greengagemoor.forward.tables import Leg, Tables
 
 MOST_SENDS = 5
 """Most sends of one leg, those included that never ran."""
@@ -239,9 +239,3 @@
     if attempt in attempt.leg.attempts:
         attempt.leg.attempts.remove(attempt)
     tables.out.append(CancelAttempt(attempt.attempt_id))
-
-
-def add_searcher(tables: Tables, searcher: Searcher) -> None:
-    """Adds a searcher to its service."""
-    tables.searchers[searcher.searcher_id] = searcher
-    tables.by_service.setdefault(searcher.service, []).append(searcher)
