--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -245,6 +245,7 @@
     """Reads an announcement; one that another writer wrote is refused whole."""
     try:
         data = json.loads(body)
+        # Of no use to us, but no searcher leaves it out.
         fields.text(data["version"])
         return SearcherRow(
             searcher_id=fields.text(searcher_id),
