Operators see who votes in the control group, and who is outside and why

Cause: no log line said that a control instance asks to join, whom it asked or why it isn't taken in, and none when the members change, so the timeline of an instance that stood outside for 87 s can't tell the hypotheses apart. Change: `members` for each change of the list (who, voters, learners, majority, term, reason), `join_waiting` after 1 s and then at twice the age each time; the same as metrics, with silent voters and losses borne by the leader. Asking to join moves to a module of its own; who is asked, and when, is as before. Ruled out: lines from the shell by looking at the state (it can't know why).

--- a/greengagemoor/application.py
+++ b/greengagemoor/application.py
@@ -37,7 +37,7 @@
     from collections.abc import Callable
 
     from greengagemoor.config import Settings
-    from greengagemoor.control.decider import ControlStatus
+    from greengagemoor.control.status import ControlStatus
 
 IDLE_LOOK_S = 0.02
 OVERLOAD_HOLD_S = 3.0
--- a/greengagemoor/control/decider.py
+++ b/greengagemoor/control/decider.py
@@ -6,9 +6,11 @@
 
 from greengagemoor.control import (
     election,
+    joining,
     members,
     operations,
     replication,
+    status,
 )
 from greengagemoor.control import messages as m
 from greengagemoor.control.state import (
@@ -20,47 +22,12 @@
     note_synced,
     release,
 )
-from greengagemoor.util import values
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Iterable
 
-    from greengagemoor.control.commands import Member
-
-
-@values.frozen
-class MemberStatus:
-    """How the leader sees a member."""
-
-    member_id: str
-    instance: str
-    voter: bool
-    alive: bool
-    match_index: int
-
-
-@values.frozen
-class ControlStatus:
-    """What ``greengagemoorctl members`` shows.
-
-    Attributes:
-        spare: voters that may still be lost before the group stops; None when
-            this member does not lead and so can't tell.
-    """
-
-    role: str
-    group: str
-    leader: str
-    term: int
-    commit: int
-    applied: int
-    last_index: int
-    document_version: int
-    ledger_rows: int
-    members: tuple[MemberStatus, ...]
-    spare: int | None
-    warning: str
+    from greengagemoor.control.status import ControlStatus
 
 
 class ControlDecider:
@@ -68,8 +35,9 @@
 
     Messages in: ``Received``, ``Persisted``, ``PersistFailed`` and once, first,
     ``Recovered``. Messages out: ``Send``, ``Persist``, ``DocumentAccepted``,
-    ``Confirmed``. After ``PersistFailed`` it stays silent: what it wrote may
-    be lost, and a restart must find out what is left.
+    ``NumberedAccepted``, ``Confirmed`` and the notices of ``notices``. After
+    ``PersistFailed`` it stays silent: what it wrote may be lost, and a restart
+    must find out what is left.
     """
 
     def __init__(
@@ -113,9 +81,11 @@
         if state.role is Role.FAILED:
             return []
         election.tick(state)
+        joining.tick(state)
         members.tick(state)
         self._lead()
         operations.finish(state)
+        members.tell_changes(state)
         flush(state)
         self._release(release(state))
         return state.out
@@ -172,7 +142,7 @@
         elif isinstance(payload, m.JoinRequest):
             members.take_request(state, sender, payload)
         elif isinstance(payload, m.JoinReply):
-            members.take_reply(state, sender, payload)
+            joining.take_reply(state, sender, payload)
 
     def _release(self, items: list[Held]) -> None:
         for held in items:
@@ -197,7 +167,7 @@
                 )
         replication.announce_numbered(state)
         state.log.merge(msg.entries)
-        state.set_members()
+        state.set_members("from_disk")
         state.disk.synced_index = state.log.last_index
         state.role = Role.FOLLOWER
         state.started_at = state.now
@@ -205,56 +175,7 @@
 
     def status(self) -> ControlStatus:
         """Returns what operators are shown."""
-        state = self.state
-        rows = tuple(self._member_status(x) for x in state.members.values())
-        spare = self._spare(rows)
-        return ControlStatus(
-            role=state.role.value,
-            group=state.group,
-            leader=state.leader_instance,
-            term=state.term,
-            commit=state.commit,
-            applied=state.applied,
-            last_index=state.log.last_index,
-            document_version=state.machine.documents.version,
-            ledger_rows=len(state.machine.ledger),
-            members=rows,
-            spare=spare,
-            warning=self._warning(spare),
-        )
-
-    def _member_status(self, member: Member) -> MemberStatus:
-        state = self.state
-        progress = state.progress.get(member.member_id)
-        own = member.member_id == state.member_id
-        alive = own or (
-            progress is not None
-            and progress.answered
-            and progress.last_ack >= state.now - state.timing.election
-        )
-        match_index = state.log.last_index if own else 0
-        return MemberStatus(
-            member_id=member.member_id,
-            instance=member.instance,
-            voter=member.voter,
-            alive=alive,
-            match_index=progress.match_index if progress else match_index,
-        )
-
-    def _spare(self, rows: tuple[MemberStatus, ...]) -> int | None:
-        if self.state.role is not Role.LEADER:
-            return None
-        alive = sum(row.voter and row.alive for row in rows)
-        return alive - (len(self.state.voters) // 2 + 1)
-
-    def _warning(self, spare: int | None) -> str:
-        if self.state.failure:
-            return f"this member stopped: {self.state.failure}"
-        if spare is None:
-            return ""
-        if spare <= 0:
-            return "a further loss stops the group"
-        return ""
+        return status.of(self.state)
 
 
 _MEMBER_HANDLERS: dict[type, Callable[[State, object], None]] = {
--- a/greengagemoor/control/members.py
+++ b/greengagemoor/control/members.py
@@ -1,4 +1,4 @@
-"""Founding, joining and repair of the control group, one voter at a time."""
+"""The leader's changes of the member list, one voter at a time."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 import attrs
 
 from greengagemoor.control import election, replication
-from greengagemoor.control.commands import ChangeMembers, LogEntry, Member
-from greengagemoor.control.log import Log
+from greengagemoor.control.commands import ChangeMembers, Member
 from greengagemoor.control.messages import JoinReply, JoinRequest, Send
+from greengagemoor.control.notices import MembersChanged
 from greengagemoor.control.state import Progress, Role
 
 if TYPE_CHECKING:
@@ -22,71 +22,9 @@
 
 
 def tick(state: State) -> None:
-    """Joins a group, or brings new members up to votes as the leader."""
+    """Brings new members up to votes and lets others go, as the leader."""
     if state.role is Role.LEADER:
         _promote_or_retire(state)
-    elif _wants_to_join(state) and state.now >= state.join_at:
-        state.join_at = state.now + state.timing.join
-        _ask_to_join(state)
-
-
-def _wants_to_join(state: State) -> bool:
-    if state.role is Role.IDLE:
-        return True
-    if state.is_voter:
-        return _may_be_taken_out(state)
-    return state.role is Role.FOLLOWER
-
-
-def _may_be_taken_out(state: State) -> bool:
-    """Whether a voter has heard no leader for so long that it may be none.
-
-    The others take a silent voter out; back again it would ask for votes for
-    ever, as nobody sends it the list in which it is missing.
-    """
-    heard = max(state.heard_leader_at, state.started_at)
-    return state.now - heard > state.timing.retire
-
-
-def _ask_to_join(state: State) -> None:
-    if not state.group and _may_found(state):
-        _found(state)
-        return
-    request = JoinRequest(state.member_id, state.instance, state.address)
-    known = {m.instance: m.address for m in state.members.values()}
-    for name, address in {**known, **state.peers}.items():
-        if name != state.instance:
-            state.out.append(Send(name, request, address))
-
-
-def _may_found(state: State) -> bool:
-    """Tells whether this empty member may start a new group.
-
-    An instance that lost its disk looks like one that never had any. If it
-    founded a second group, entries could take its empty history for the true
-    one: every other instance named in the settings must first say that it
-    belongs to none.
-    """
-    first = min([state.instance, *state.peers])
-    return (
-        state.new_group
-        and state.instance == first
-        and all(state.join_replies.get(name) == "" for name in state.peers)
-    )
-
-
-def _found(state: State) -> None:
-    own = Member(state.member_id, state.instance, state.address, voter=True)
-    state.group = f"group-{state.rng.getrandbits(64):016x}"
-    state.term = 1
-    state.disk.hard_changed = True
-    state.log = Log()
-    entry = LogEntry(1, 1, ChangeMembers((own,), time=state.now))
-    state.log.append(entry)
-    state.disk.entries.append(entry)
-    state.set_members()
-    state.role = Role.FOLLOWER
-    state.election_at = state.now
 
 
 def take_request(state: State, asker: str, msg: JoinRequest) -> None:
@@ -102,12 +40,7 @@
         if member.voter or member.instance != msg.instance
     ]
     joiner = Member(msg.member_id, msg.instance, msg.address, voter=False)
-    _change(state, [*kept, joiner])
-
-
-def take_reply(state: State, sender: str, msg: JoinReply) -> None:
-    """Notes which group another control instance belongs to."""
-    state.join_replies[sender] = msg.group
+    _change(state, [*kept, joiner], "asked_to_join")
 
 
 def _may_change(state: State) -> bool:
@@ -118,10 +51,10 @@
     )
 
 
-def _change(state: State, changed: Iterable[Member]) -> None:
+def _change(state: State, changed: Iterable[Member], reason: str) -> None:
     command = ChangeMembers(tuple(changed), time=state.now)
     election.append(state, command)
-    state.set_members()
+    state.set_members(reason)
     for member_id in set(state.members) - {state.member_id}:
         if member_id not in state.progress:
             state.progress[member_id] = Progress(
@@ -138,12 +71,15 @@
     ready = next(filter(lambda m: _is_ready(state, m), _learners(state)), None)
     if ready is not None:
         voter = attrs.evolve(ready, voter=True)
-        _change(state, {**state.members, voter.member_id: voter}.values())
+        changed = {**state.members, voter.member_id: voter}.values()
+        _change(state, changed, "synced")
         return
-    over = _replaced_voter(state) or _silent_voter(state)
+    over, reason = _replaced_voter(state), "votes_under_newer_identity"
+    if over is None:
+        over, reason = _silent_voter(state), "silent"
     if over is not None:
         kept = [m for m in state.members.values() if m is not over]
-        _change(state, kept)
+        _change(state, kept, reason)
 
 
 def _learners(state: State) -> list[Member]:
@@ -210,5 +146,28 @@
     if not _may_change(state):
         return "another change of members is under way"
     kept = [m for m in state.members.values() if m.member_id != member_id]
-    _change(state, kept)
+    _change(state, kept, "operator")
     return ""
+
+
+def tell_changes(state: State) -> None:
+    """Tells operators how the list that this member goes by has changed."""
+    old, new = state.told_members, state.members
+    if old == new:
+        return
+    state.told_members = new
+    voters = len(state.voters)
+    state.out.append(
+        MembersChanged(
+            joined=tuple(key for key in new if key not in old),
+            promoted=tuple(
+                key for key in new if old.get(key, new[key]) != new[key]
+            ),
+            left=tuple(key for key in old if key not in new),
+            voters=voters,
+            learners=len(new) - voters,
+            majority=voters // 2 + 1,
+            term=state.term,
+            reason=state.members_reason,
+        )
+    )
--- a/greengagemoor/control/replication.py
+++ b/greengagemoor/control/replication.py
@@ -87,7 +87,7 @@
     if new:
         note_replaced(state, new[0].index)
         state.disk.entries.extend(new)
-        state.set_members()
+        state.set_members("from_leader")
     match_index = msg.prev_index + len(msg.entries)
     advance(state, min(msg.commit, match_index))
     _reply(state, msg, ok=True, match_index=match_index)
@@ -165,7 +165,7 @@
     state.commit = snapshot.index
     state.applied = snapshot.index
     state.machine.load(snapshot.data)
-    state.set_members()
+    state.set_members("from_snapshot")
 
 
 def take_reply(state: State, msg: AppendReply) -> None:
--- a/greengagemoor/control/state.py
+++ b/greengagemoor/control/state.py
@@ -126,6 +126,23 @@
     new_held: list[Held] = attrs.field(factory=list)
 
 
+@attrs.define(eq=False, repr=False)
+class Joining:
+    """What a process outside a group knows of its way into one.
+
+    Attributes:
+        since: when it began to ask; None while it has no reason to.
+        tell_at: when operators are told next.
+        asked: instances that were asked last.
+        replies: the group of each instance that answered, '' for none.
+    """
+
+    since: float | None = None
+    tell_at: float = 0.0
+    asked: tuple[str, ...] = ()
+    replies: dict[str, str] = attrs.field(factory=dict)
+
+
 @attrs.define(eq=False, repr=False)
 class State:
     """One member: its durable fields, its role and its output of a tick."""
@@ -154,11 +171,13 @@
     machine: Machine = attrs.field(factory=Machine)
     members: dict[str, Member] = attrs.field(factory=dict)
     members_index: int = 0
+    members_reason: str = ""
+    told_members: dict[str, Member] = attrs.field(factory=dict)
     heard_leader_at: float = float("-inf")
     election_at: float = 0.0
     join_at: float = 0.0
     started_at: float = 0.0
-    join_replies: dict[str, str] = attrs.field(factory=dict)
+    joining: Joining = attrs.field(factory=Joining)
     failure: str = ""
     # Candidate.
     pre_vote: bool = False
@@ -216,11 +235,16 @@
             address=member.address if member else "",
         )
 
-    def set_members(self) -> None:
-        """Takes the member list from the newest entry of the log."""
+    def set_members(self, reason: str) -> None:
+        """Takes the member list from the newest entry of the log.
+
+        Args:
+            reason: why it may have changed, for operators.
+        """
         members = self.log.members_at(self.log.last_index)
         self.members = {member.member_id: member for member in members}
         self.members_index = self.log.last_members_index()
+        self.members_reason = reason
 
     def reset_election(self) -> None:
         """Sets the next election time, spread so that few collide."""
--- a/greengagemoor/logreading/timeline.py
+++ b/greengagemoor/logreading/timeline.py
@@ -14,6 +14,8 @@
     "stop": (),
     "reload": ("seeds",),
     "role": ("role", "term", "leader"),
+    "members": ("joined", "promoted", "left", "voters", "majority", "reason"),
+    "join_waiting": ("asked", "reason", "age_s"),
     "document": ("version",),
     "ready": ("ready", "document"),
     "searcher": ("service", "id", "state", "sequence"),
--- /dev/null
+++ b/greengagemoor/serving/beliefs.py
@@ -0,0 +1,42 @@
+"""What a control instance believes of its group, for logs and metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from greengagemoor import log
+
+if TYPE_CHECKING:
+    from greengagemoor.control.decider import ControlDecider
+
+
+class Beliefs:
+    """Logs each change of role and document, and keeps what was told last."""
+
+    def __init__(self):
+        self._decider: ControlDecider | None = None
+        self._role: tuple[str, int, str] = ("", 0, "")
+        self._number = 0
+
+    def note(self, decider: ControlDecider) -> None:
+        """Looks at the member after a tick; logs what has changed."""
+        self._decider = decider
+        state = decider.state
+        role = (state.role.value, state.term, state.leader_instance)
+        if role != self._role:
+            self._role = role
+            log.event("role", role=role[0], term=role[1], leader=role[2])
+        number = state.machine.numbered.number
+        if number != self._number:
+            self._number = number
+            log.event("document", version=number)
+
+    def gauges(self) -> dict[str, float]:
+        """Returns numbers of the moment, for metrics."""
+        group = self._decider.status().gauges() if self._decider else {}
+        return {
+            **group,
+            "leads": float(self._role[0] == "leader"),
+            "term": self._role[1],
+            "document_version": self._number,
+        }
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -23,10 +23,12 @@
 from greengagemoor.routing import routes
 from greengagemoor.serving import dialect as calls
 from greengagemoor.serving import inboxes, opencalls
+from greengagemoor.serving.beliefs import Beliefs
 from greengagemoor.serving.durable import OTHER_ROWS, OWN_ROWS, Durable
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.opencalls import BadCalls, OpenCalls
 from greengagemoor.serving.ticker import Ticker
+from greengagemoor.shell import group_notes
 from greengagemoor.shell.clock import Clock
 
 if TYPE_CHECKING:
@@ -62,8 +64,7 @@
             cfg.data_folder, cfg.instance, self._ticker.put_threadsafe
         )
         self._decider: ControlDecider | None = None
-        self._told: tuple[str, int, str] = ("", 0, "")
-        self._told_number = 0
+        self._beliefs = Beliefs()
         self._calls = OpenCalls(dialect)
         self._bad_calls = BadCalls()
         self._metrics = ServingMetrics(self._gauges)
@@ -209,7 +210,7 @@
             mine = [msg for msg in batch if inboxes.is_for_decider(msg)]
             out += self._decider.step(now, mine)
             self._follow_members()
-            self._tell_beliefs()
+            self._beliefs.note(self._decider)
         out += self._hub.step(now, filter(inboxes.is_for_hub, batch))
         out += self._client.step(now, filter(inboxes.is_for_client, batch))
         for msg in batch:
@@ -231,6 +232,8 @@
             self._calls.answer(msg.token, reply)
         elif isinstance(msg, Done):
             self._calls.take_done(msg)
+        else:
+            group_notes.write(msg)
 
     def _send(self, msg: Send, inbox: deque) -> None:
         if msg.to == self.cfg.instance:
@@ -257,23 +260,10 @@
         self._client.targets = names or [_name(s) for s in self.cfg.seeds]
         self._hub.set_peers(tuple(sorted(addresses)), frozenset(names))
 
-    def _tell_beliefs(self) -> None:
-        state = self._decider.state
-        told = (state.role.value, state.term, state.leader_instance)
-        if told != self._told:
-            self._told = told
-            log.event("role", role=told[0], term=told[1], leader=told[2])
-        number = state.machine.numbered.number
-        if number != self._told_number:
-            self._told_number = number
-            log.event("document", version=number)
-
     def _gauges(self) -> dict[str, float]:
         return {
             **self._hub.gauges(),
-            "leads": float(self._told[0] == "leader"),
-            "term": self._told[1],
-            "document_version": self._told_number,
+            **self._beliefs.gauges(),
             "links": len(self._links.open),
             "link_bytes_sent_total": self._links.sent_bytes,
             "bad_calls_total": self._bad_calls.total,
--- /dev/null
+++ b/greengagemoor/shell/group_notes.py
@@ -0,0 +1,50 @@
+"""Logs what a member of the control group tells its operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from greengagemoor import log
+from greengagemoor.control.notices import JoinWaiting, MembersChanged
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+def write(msg: object) -> bool:
+    """Logs a notice; tells whether the message was one."""
+    writer = WRITERS.get(type(msg))
+    if writer is None:
+        return False
+    writer(msg)
+    return True
+
+
+def _write_members(msg: MembersChanged) -> None:
+    log.event(
+        "members",
+        joined=",".join(msg.joined),
+        promoted=",".join(msg.promoted),
+        left=",".join(msg.left),
+        voters=msg.voters,
+        learners=msg.learners,
+        majority=msg.majority,
+        term=msg.term,
+        reason=msg.reason,
+    )
+
+
+def _write_join_waiting(msg: JoinWaiting) -> None:
+    log.event(
+        "join_waiting",
+        level="WARNING",
+        asked=",".join(msg.asked),
+        reason=msg.reason,
+        age_s=round(msg.age_s, 1),
+    )
+
+
+WRITERS: dict[type, Callable[[object], None]] = {
+    MembersChanged: _write_members,
+    JoinWaiting: _write_join_waiting,
+}
--- a/greengagemoor/shell/notes.py
+++ b/greengagemoor/shell/notes.py
@@ -6,6 +6,7 @@
 
 from greengagemoor import events, log
 from greengagemoor.query import messages as query
+from greengagemoor.shell import group_notes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,6 +35,8 @@
     note(query.ServerChanged, events.SERVER_CHANGED, _write_server)
     note(query.ServerGone, events.SERVER_CHANGED, _write_server_gone)
     note(query.ControlReady, events.CONTROL_CHANGED, _write_control)
+    for kind, write in group_notes.WRITERS.items():
+        add(kind, write)
 
 
 def _write_document(msg: query.DocumentChanged) -> None:
--- a/tests/test_logfields.py
+++ b/tests/test_logfields.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+from itertools import chain
 from pathlib import Path
 
 import greengagemoor
@@ -10,13 +11,14 @@
 
 PACKAGE = Path(greengagemoor.__file__).parent
 EVENT_LOOP = ("aio", "feed", "forward", "platform", "serving")
+SHARED = (PACKAGE / "shell" / "group_notes.py",)
 PAGE = (PACKAGE.parent / "docs" / "OPERATIONS.md").read_text()
 
 
 def calls():
     """Yields (file, event, fields) of each call that logs."""
     files = (p for name in EVENT_LOOP for p in (PACKAGE / name).glob("*.py"))
-    for path in files:
+    for path in chain(files, SHARED):
         for node in ast.walk(ast.parse(path.read_text())):
             if (
                 isinstance(node, ast.Call)
