Tests that fail: newcomers whose seeds don't lead stay outside for ever

Cause: as the record of the incident shows (an instance idle for 87 s beside a link to the leader); not mended here. Ruled out: a loss of synced state; the newcomers never held any.

--- a/tests/test_control/helpers.py
+++ b/tests/test_control/helpers.py
@@ -7,7 +7,7 @@
 from greengagemoor.codes import Code
 from greengagemoor.control.client import Ask, Done
 from greengagemoor.control.commands import ApplyDocument
-from greengagemoor.control.messages import OpKind
+from greengagemoor.control.messages import MEMBER_PAYLOADS, OpKind, OpReply
 from tests.fakes import FakeFleet
 
 GROUP = ("c1", "c2", "c3")
@@ -94,3 +94,26 @@
 def others(leader: str) -> list[str]:
     """Returns the control instances that do not lead."""
     return [name for name in GROUP if name != leader]
+
+
+def add_newcomer(fleet: FakeFleet, name: str, seeds) -> None:
+    """Starts an empty control instance that knows only its seeds.
+
+    Gossip of other roles is lost, so that control instances find each other
+    by what the control group says itself.
+    """
+    fleet.loses = _is_gossip
+    fleet.add(name, ("control",), group=tuple(seeds))
+
+
+def _is_gossip(msg) -> bool:
+    return not isinstance(msg.payload, (*MEMBER_PAYLOADS, OpReply))
+
+
+def is_voter(fleet: FakeFleet, name: str) -> bool:
+    """Whether the leader counts an instance's present identity as a voter."""
+    leader = fleet.leader()
+    if not leader or name not in fleet.disks:
+        return False
+    state = fleet.nodes[leader].control.state
+    return f"{name}#{fleet.disks[name].identity}" in state.voters
--- /dev/null
+++ b/tests/test_control/test_joining.py
@@ -0,0 +1,114 @@
+"""A process that can reach any one member becomes a member."""
+
+from __future__ import annotations
+
+from greengagemoor.codes import Code
+from tests.test_control.helpers import (
+    Operator,
+    add_newcomer,
+    is_voter,
+    start_group,
+)
+
+FIVE = ("c1", "c2", "c3", "c4", "c5")
+
+
+class TestReplacedOneByOne:
+    """Two of five machines are replaced; then one disk and all power is lost.
+
+    No read of the document was answered any more, although only one disk was
+    lost at a time. The two machines that came as replacements had seeds that
+    did not lead when they started. They asked these to be taken in, only a
+    leader took anybody in, and the others said nothing of who leads. So both
+    stood outside until the end while two dead votes of five stayed in the
+    list, and with the lost disk two of five were left. In the log of one:
+
+        5.261 event=disk_open member=10.1.0.28#86dec2797a9a4dfc entries=0
+        5.261 event=role role=idle term=0 leader=""
+        7.271 event=reload seeds=10.2.0.23:7680,10.3.0.28:7680,10.1.0.27:7680
+        7.271 event=link_up peer=10.1.0.27
+        94.338 event=disk_open member=10.1.0.28#86dec2797a9a4dfc entries=0
+
+    10.1.0.27 led all that time: its link stood for 87 s and was never asked.
+    """
+
+    def replace(self, fleet, lost, new):
+        """Loses a machine for good; another one comes, with stale seeds."""
+        fleet.kill(lost)
+        fleet.lose_disk(lost)
+        fleet.run_until(lambda: fleet.leader() not in ("", lost))
+        followers = [n for n in fleet.nodes if n not in (lost, fleet.leader())]
+        add_newcomer(fleet, new, followers[:2])
+        fleet.run(6.0)
+
+    def test_what_was_acknowledged_can_be_read(self):
+        fleet = start_group(FIVE)
+        operator = Operator(fleet)
+        self.replace(fleet, fleet.leader(), "c6")
+        self.replace(fleet, fleet.leader(), "c7")
+        operator.accept(fleet.leader(), "kept", 0, 1)
+        names = list(fleet.nodes)
+        wiped = next(n for n in FIVE if n in names and n != fleet.leader())
+        for name in names:
+            fleet.kill(name)
+        fleet.lose_disk(wiped)
+        for name in names:
+            fleet.start(name)
+        fleet.run_until(fleet.leader, most=12.0)
+        reply = operator.wait(operator.read(fleet.leader())).reply
+        assert (reply.code, reply.version) == (Code.CURRENT, 1)
+
+
+class TestNewcomer:
+    """However little it knows at its start."""
+
+    def test_seeds_that_do_not_lead(self):
+        fleet = start_group(FIVE)
+        seeds = [n for n in FIVE if n != fleet.leader()][:2]
+        add_newcomer(fleet, "c6", seeds)
+        fleet.run_until(lambda: is_voter(fleet, "c6"), most=3.0)
+
+    def test_one_seed_and_a_cut_to_all_others(self):
+        """It reaches one follower; its leader reaches it."""
+        fleet = start_group(FIVE)
+        seed = next(n for n in FIVE if n != fleet.leader())
+        add_newcomer(fleet, "c6", [seed])
+        for name in FIVE:
+            if name != seed:
+                fleet.cut.add(("c6", name))
+        fleet.run(1.0)
+        assert "c6" in {m.instance for m in self.members(fleet)}
+
+    def members(self, fleet):
+        return fleet.nodes[fleet.leader()].control.state.members.values()
+
+    def test_the_leader_changes_while_it_asks(self):
+        """Also when the leader goes as soon as it has taken it in."""
+        fleet = start_group(FIVE)
+        leader = fleet.leader()
+        seeds = [n for n in FIVE if n != leader][:2]
+        add_newcomer(fleet, "c6", seeds)
+        fleet.run(0.1)
+        fleet.kill(leader)
+        fleet.run_until(lambda: is_voter(fleet, "c6"), most=8.0)
+
+    def test_two_of_five_are_gone(self):
+        """No further loss is borne until newcomers vote."""
+        fleet = start_group(FIVE)
+        for lost in [n for n in FIVE if n != fleet.leader()][:2]:
+            fleet.kill(lost)
+            fleet.lose_disk(lost)
+        seed = next(n for n in fleet.nodes if n != fleet.leader())
+        add_newcomer(fleet, "c6", [seed])
+        add_newcomer(fleet, "c7", [seed])
+        fleet.run_until(
+            lambda: is_voter(fleet, "c6") and is_voter(fleet, "c7"), most=3.0
+        )
+        assert fleet.nodes[fleet.leader()].control.status().spare >= 1
+
+    def test_every_second_answer_is_lost(self):
+        fleet = start_group(FIVE)
+        fleet.drop_share = 0.5
+        seeds = [n for n in FIVE if n != fleet.leader()][:2]
+        add_newcomer(fleet, "c6", seeds)
+        fleet.run_until(lambda: is_voter(fleet, "c6"), most=20.0)
