Whoever reaches one member becomes a member; all founders vote from the start

Cause: a process outside asked the seeds of its settings, as they were at its start, and only a leader took it in; the others answered with the group's name and dropped the rest. With seeds that did not lead it stayed outside for ever, beside a link to the leader, while the votes of the machines that it replaced stayed in the list. Class: a request that only one process can grant was sent to a fixed few, and refused in silence. The founder: it was the only voter at first and acknowledged alone, and who may found was known to one process only. Change: a member passes a join request on to its leader, once, and tells who leads and who votes; a joiner asks who is said to lead and three others in turn, of seeds, members and all it was told; changed settings reach it. A leader takes in all that wait by one change. All founders are voters of the first list, give their votes before they hold it, and belong to the group once they do; leave to found stays with the folder that got it, and a majority of these is needed. Ruled out: redirecting only (a joiner may not reach the leader); asking all that is known each time (300 outside would send 40,000 requests a second to 32 contacts); taking the list of voters as read when a vote is given (a founder lost at that moment left two that could neither elect nor found).

--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -85,7 +85,7 @@
                 f"{n}:1",
                 {o: f"{o}:1" for o in names if o != n},
                 random.Random(n),
-                new_group=True,
+                founders={o: f"{o}:1" for o in names if o != n},
             )
             for n in names
         }
@@ -222,7 +222,7 @@
 
 
 def _lone_member() -> ControlDecider:
-    return ControlDecider("c1#x", "c1:1", {}, random.Random(1), new_group=True)
+    return ControlDecider("c1#x", "c1:1", {}, random.Random(1), founders={})
 
 
 def _apply_changes(folder: Path, count: int) -> None:
--- a/greengagemoor/application.py
+++ b/greengagemoor/application.py
@@ -142,13 +142,14 @@
         if not cfg.is_control:
             return None
         others = {k: v for k, v in group.items() if k != cfg.instance}
+        named = len(others) < len(group) or not group
         return ControlDecider(
             self._member_id,
             cfg.peer_address,
             others,
             random.Random(rng.getrandbits(64)),
             ControlTiming(heartbeat=cfg.heartbeat_s, election=cfg.election_s),
-            new_group=cfg.new_group,
+            founders=others if cfg.new_group and named else None,
         )
 
     def _connect(self) -> None:
--- a/greengagemoor/control/decider.py
+++ b/greengagemoor/control/decider.py
@@ -13,11 +13,10 @@
     status,
 )
 from greengagemoor.control import messages as m
-from greengagemoor.control.state import (
+from greengagemoor.control.joinmessages import SeedsChanged
+from greengagemoor.control.state import Role, State, Timing
+from greengagemoor.control.writes import (
     Held,
-    Role,
-    State,
-    Timing,
     flush,
     note_synced,
     release,
@@ -33,11 +32,11 @@
 class ControlDecider:
     """One member: elections, replication, documents and the ledger.
 
-    Messages in: ``Received``, ``Persisted``, ``PersistFailed`` and once, first,
-    ``Recovered``. Messages out: ``Send``, ``Persist``, ``DocumentAccepted``,
-    ``NumberedAccepted``, ``Confirmed`` and the notices of ``notices``. After
-    ``PersistFailed`` it stays silent: what it wrote may be lost, and a restart
-    must find out what is left.
+    Messages in: ``Received``, ``Persisted``, ``PersistFailed``,
+    ``SeedsChanged`` and once, first, ``Recovered``. Messages out: ``Send``,
+    ``Persist``, ``DocumentAccepted``, ``NumberedAccepted``, ``Confirmed`` and
+    the notices of ``notices``. After ``PersistFailed`` it stays silent: what it
+    wrote may be lost, and a restart must find out what is left.
     """
 
     def __init__(
@@ -48,7 +47,7 @@
         rng: random.Random,
         timing: Timing | None = None,
         *,
-        new_group: bool = False,
+        founders: dict[str, str] | None = None,
     ):
         """Starts outside any group, until ``Recovered`` says otherwise.
 
@@ -59,7 +58,8 @@
                 addresses.
             rng: seeded source for election times.
             timing: intervals, or None for the defaults.
-            new_group: whether an empty member may found a group.
+            founders: the other instances that were told to found a group
+                with this one, and their addresses; None when it may not.
         """
         self.state = State(
             instance=member_id.partition("#")[0],
@@ -68,7 +68,7 @@
             peers=peers,
             rng=rng,
             timing=timing or Timing(),
-            new_group=new_group,
+            founders=founders,
         )
 
     def step(self, now: float, msgs: Iterable[object]) -> list:
@@ -106,11 +106,33 @@
         if state.role is Role.LEADER:
             return state.now if state.broadcast_due else state.heartbeat_at
         if state.role is Role.IDLE:
-            return state.join_at
-        if not state.is_voter:
-            return min(state.join_at, state.election_at)
+            return state.joining.ask_at
+        if state.joining.since is not None:
+            return min(state.joining.ask_at, state.election_at)
         return state.election_at
 
+    def meet(self, contacts: dict[str, str]) -> None:
+        """Takes in peer addresses of control instances learnt elsewhere.
+
+        Args:
+            contacts: addresses by instance.
+        """
+        joining.meet(self.state, contacts)
+
+    @property
+    def is_outside(self) -> bool:
+        """Whether this member asks to be taken into a group."""
+        return self.state.joining.since is not None
+
+    def contacts(self) -> dict[str, str]:
+        """Returns peer addresses of control instances, by instance.
+
+        Of the members; outside a group, of all that may know one.
+        """
+        if self.is_outside:
+            return joining.contacts(self.state)
+        return {m.instance: m.address for m in self.state.members.values()}
+
     def _receive(self, msg: object) -> None:
         state = self.state
         if isinstance(msg, m.PersistFailed):
@@ -125,6 +147,8 @@
             replication.commit_by_quorum(state)
         elif isinstance(msg, m.Recovered):
             self._recover(msg)
+        elif isinstance(msg, SeedsChanged):
+            joining.take_seeds(state, msg)
 
     def _receive_payload(self, sender: str, payload: object) -> None:
         state = self.state
@@ -133,14 +157,14 @@
             # A message of another group, or for an identity that this
             # instance had before it lost its disk, is not for this member.
             ours = payload.group == state.group or (
-                not state.group and not isinstance(payload, m.VoteRequest)
+                not state.group and isinstance(payload, _TO_NAMED)
             )
             if ours and payload.target == state.member_id:
                 handler(state, payload)
         elif isinstance(payload, m.OpRequest):
             operations.take(state, sender, payload)
         elif isinstance(payload, m.JoinRequest):
-            members.take_request(state, sender, payload)
+            members.take_request(state, payload)
         elif isinstance(payload, m.JoinReply):
             joining.take_reply(state, sender, payload)
 
@@ -158,6 +182,8 @@
         state.group = msg.hard.group
         state.term = msg.hard.term
         state.voted_for = msg.hard.voted_for
+        if not state.group:
+            return
         if msg.snapshot is not None:
             replication.restore(state, msg.snapshot)
             documents = state.machine.documents
@@ -178,6 +204,8 @@
         return status.of(self.state)
 
 
+_TO_NAMED = (m.VoteRequest, m.AppendRequest, m.InstallSnapshot)
+"""What a process without a group takes from one that names its identity."""
 _MEMBER_HANDLERS: dict[type, Callable[[State, object], None]] = {
     m.VoteRequest: election.take_request,
     m.VoteReply: election.take_reply,
--- a/greengagemoor/control/election.py
+++ b/greengagemoor/control/election.py
@@ -7,7 +7,8 @@
 from greengagemoor.codes import Code
 from greengagemoor.control.commands import LogEntry, NoOp
 from greengagemoor.control.messages import OpReply, Send, VoteReply, VoteRequest
-from greengagemoor.control.state import Held, Progress, Role
+from greengagemoor.control.state import Progress, Role
+from greengagemoor.control.writes import Held
 
 if TYPE_CHECKING:
     from greengagemoor.control.state import State
@@ -26,7 +27,9 @@
         state.disk.hard_changed = True
     if state.role is Role.LEADER:
         _end_leading(state)
-    state.role = Role.FOLLOWER
+    # A voter that no leader has reached yet gives its vote without belonging
+    # to the group: until an entry reaches it, it may still be named by another.
+    state.role = Role.FOLLOWER if state.group else Role.IDLE
     state.leader = leader
     state.votes.clear()
 
@@ -40,6 +43,7 @@
     state.pending.clear()
     state.reads.clear()
     state.progress.clear()
+    state.joiners.clear()
     state.reset_election()
 
 
@@ -143,7 +147,7 @@
             state.disk.hard_changed = True
             state.reset_election()
     reply = VoteReply(
-        group=state.group,
+        group=msg.group,
         source=state.member_id,
         target=msg.source,
         term=state.term,
--- a/greengagemoor/control/joining.py
+++ b/greengagemoor/control/joining.py
@@ -1,18 +1,32 @@
-"""Founding a control group, and asking to be taken into one."""
+"""Asking to be taken into a control group, or founding one."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from greengagemoor.control.commands import ChangeMembers, LogEntry, Member
-from greengagemoor.control.log import Log
-from greengagemoor.control.messages import JoinReply, JoinRequest, Send
+from greengagemoor.control import founding
+from greengagemoor.control.joinmessages import (
+    JoinReply,
+    JoinRequest,
+    SeedsChanged,
+)
+from greengagemoor.control.messages import Send
 from greengagemoor.control.notices import JoinWaiting
 from greengagemoor.control.state import Role
 
 if TYPE_CHECKING:
     from greengagemoor.control.state import State
 
+ASKED_AT_ONCE = 3
+"""Instances asked in a round, besides the one that is said to lead. Each of
+them passes the request on, so with 300 processes outside, and a second between
+their rounds, members take in 1,200 requests a second together."""
+EAGER_ASKS = 8
+"""Rounds at the interval ``Timing.join``; later ones are twice as far apart
+each time, up to ``LONGEST_PAUSE`` intervals."""
+LONGEST_PAUSE = 4
+MOST_CONTACTS = 64
+"""Addresses kept of what others told; those told first are forgotten first."""
 FIRST_TOLD_S = 1.0
 LONGEST_TOLD_S = 30.0
 """A wait is told after a second, then at twice the age each time: a process
@@ -26,47 +40,119 @@
         joining.since = None
         return
     if joining.since is None:
-        joining.since = state.now
-        joining.tell_at = state.now + FIRST_TOLD_S
-        joining.replies.clear()
-    if state.now >= state.join_at:
-        state.join_at = state.now + state.timing.join
-        _ask_to_join(state)
+        _begin(state)
+    if founding.is_due(state):
+        founding.found(state)
+        return
+    if state.now >= joining.ask_at:
+        _ask(state)
     if state.now >= joining.tell_at:
         _tell(state)
 
 
 def _wants_to_join(state: State) -> bool:
+    """Whether nobody can be relied on to send this process the log.
+
+    A learner whose leader is gone may be in nobody's list. A voter may have
+    been taken out while it was silent; back again it would ask for votes for
+    ever, as nobody sends it the list in which it is missing.
+    """
     if state.role is Role.LEADER:
         return False
     if state.role is Role.IDLE:
         return True
-    if state.is_voter:
-        return _may_be_taken_out(state)
-    return state.role is Role.FOLLOWER
+    silent = state.now - max(state.heard_leader_at, state.started_at)
+    timing = state.timing
+    return silent > (timing.retire if state.is_voter else timing.election)
 
 
-def _may_be_taken_out(state: State) -> bool:
-    """Whether a voter has heard no leader for so long that it may be none.
+def _begin(state: State) -> None:
+    joining = state.joining
+    joining.since = joining.ask_at = state.now
+    joining.tell_at = state.now + FIRST_TOLD_S
+    joining.asks = 0
+    joining.leader = ""
+    joining.replies.clear()
 
-    The others take a silent voter out; back again it would ask for votes for
-    ever, as nobody sends it the list in which it is missing.
+
+def _ask(state: State) -> None:
+    joining = state.joining
+    joining.round += 1
+    joining.asks += 1
+    joining.ask_at = state.now + _pause(state)
+    asked = _whom(state)
+    joining.asked = tuple(asked)
+    request = JoinRequest(
+        state.member_id, state.instance, state.address, joining.round
+    )
+    for name, address in asked.items():
+        state.out.append(Send(name, request, address))
+
+
+def _pause(state: State) -> float:
+    late = state.joining.asks - EAGER_ASKS
+    if late <= 0 or founding.may_found(state):
+        return state.timing.join
+    return state.timing.join * min(2**late, LONGEST_PAUSE)
+
+
+def _whom(state: State) -> dict[str, str]:
+    """Returns whom to ask: who is said to lead, and others in turn.
+
+    The seeds of the settings alone may all have ended, or be followers that
+    can't reach their leader.
     """
-    heard = max(state.heard_leader_at, state.started_at)
-    return state.now - heard > state.timing.retire
+    known = contacts(state)
+    if founding.may_found(state):
+        return {name: known[name] for name in state.founders}
+    joining = state.joining
+    names = [name for name in known if name != joining.leader]
+    start = joining.turn % max(1, len(names))
+    joining.turn = start + ASKED_AT_ONCE
+    turn = (names[start:] + names[:start])[:ASKED_AT_ONCE]
+    first = [joining.leader] if joining.leader in known else []
+    return {name: known[name] for name in first + turn}
+
+
+def contacts(state: State) -> dict[str, str]:
+    """Returns the addresses of all that may know a group, by instance."""
+    members = {m.instance: m.address for m in state.members.values()}
+    told = state.joining.contacts
+    known = {**state.peers, **(state.founders or {}), **members, **told}
+    known.pop(state.instance, None)
+    return known
+
+
+def meet(state: State, told: dict[str, str]) -> None:
+    """Keeps addresses that others told."""
+    kept = state.joining.contacts
+    for name, address in told.items():
+        kept.pop(name, None)
+        kept[name] = address
+    while len(kept) > MOST_CONTACTS:
+        del kept[next(iter(kept))]
+
+
+def take_seeds(state: State, msg: SeedsChanged) -> None:
+    """Takes in changed settings, and asks those that they name now."""
+    state.peers = {
+        name: address
+        for name, address in msg.seeds.items()
+        if name != state.instance
+    }
+    state.joining.turn = 0
+    state.joining.ask_at = state.now
 
 
-def _ask_to_join(state: State) -> None:
-    if not state.group and _may_found(state):
-        _found(state)
+def take_reply(state: State, sender: str, msg: JoinReply) -> None:
+    """Learns from another control instance who belongs to its group."""
+    joining = state.joining
+    if joining.since is None:
         return
-    request = JoinRequest(state.member_id, state.instance, state.address)
-    known = {m.instance: m.address for m in state.members.values()}
-    asked = {**known, **state.peers}
-    asked.pop(state.instance, None)
-    state.joining.asked = tuple(asked)
-    for name, address in asked.items():
-        state.out.append(Send(name, request, address))
+    joining.replies[sender] = msg
+    meet(state, {m.instance: m.address for m in msg.members})
+    if msg.leader:
+        joining.leader = msg.leader.partition("#")[0]
 
 
 def _tell(state: State) -> None:
@@ -77,45 +163,11 @@
 
 
 def _reason(state: State) -> str:
-    replies = state.joining.replies
+    replies = state.joining.replies.values()
     if not replies:
         return "no_answer"
-    if not any(replies.values()):
+    if not any(reply.group for reply in replies):
         return "no_group"
+    if not any(reply.leader for reply in replies):
+        return "no_leader"
     return "not_taken_in"
-
-
-def _may_found(state: State) -> bool:
-    """Tells whether this empty member may start a new group.
-
-    An instance that lost its disk looks like one that never had any. If it
-    founded a second group, entries could take its empty history for the true
-    one: every other instance named in the settings must first say that it
-    belongs to none.
-    """
-    first = min([state.instance, *state.peers])
-    replies = state.joining.replies
-    return (
-        state.new_group
-        and state.instance == first
-        and all(replies.get(name) == "" for name in state.peers)
-    )
-
-
-def _found(state: State) -> None:
-    own = Member(state.member_id, state.instance, state.address, voter=True)
-    state.group = f"group-{state.rng.getrandbits(64):016x}"
-    state.term = 1
-    state.disk.hard_changed = True
-    state.log = Log()
-    entry = LogEntry(1, 1, ChangeMembers((own,), time=state.now))
-    state.log.append(entry)
-    state.disk.entries.append(entry)
-    state.set_members("founded")
-    state.role = Role.FOLLOWER
-    state.election_at = state.now
-
-
-def take_reply(state: State, sender: str, msg: JoinReply) -> None:
-    """Notes which group another control instance belongs to."""
-    state.joining.replies[sender] = msg.group
--- a/greengagemoor/control/messages.py
+++ b/greengagemoor/control/messages.py
@@ -11,6 +11,7 @@
 import attrs
 
 from greengagemoor.control.commands import Command, LogEntry, Snapshot
+from greengagemoor.control.joinmessages import JoinReply, JoinRequest
 from greengagemoor.util import values
 
 # Between members of the group. ``source`` and ``target`` are member ids: a
@@ -96,22 +97,6 @@
     round: int
 
 
-@values.frozen
-class JoinRequest:
-    """A process with the control role asks to belong to a group."""
-
-    member_id: str
-    instance: str
-    address: str
-
-
-@values.frozen
-class JoinReply:
-    """Tells a joiner which group this process belongs to, '' for none."""
-
-    group: str
-
-
 # Between any process of ours and the group.
 
 
--- a/greengagemoor/control/replication.py
+++ b/greengagemoor/control/replication.py
@@ -14,7 +14,8 @@
     InstallSnapshot,
     NumberedAccepted,
 )
-from greengagemoor.control.state import Applied, Role, note_replaced
+from greengagemoor.control.state import Applied, Role
+from greengagemoor.control.writes import note_replaced
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -78,8 +79,9 @@
     if msg.term < state.term:
         _reply(state, msg, ok=False, match_index=0)
         return
-    _follow(state, msg)
-    if not _matches(state, msg.prev_index, msg.prev_term):
+    matches = _matches(state, msg.prev_index, msg.prev_term)
+    _follow(state, msg, joins=matches)
+    if not matches:
         agreed = _agreed_before(state, msg.prev_index)
         _reply(state, msg, ok=False, match_index=agreed)
         return
@@ -93,8 +95,15 @@
     _reply(state, msg, ok=True, match_index=match_index)
 
 
-def _follow(state: State, msg: AppendRequest | InstallSnapshot) -> None:
-    if not state.group:
+def _follow(
+    state: State, msg: AppendRequest | InstallSnapshot, *, joins: bool
+) -> None:
+    """Follows a leader; belongs to its group once it holds its list.
+
+    A process that belonged to a group without the list could neither vote for
+    it in an election of its own nor help to found another.
+    """
+    if joins and not state.group:
         state.group = msg.group
         state.disk.hard_changed = True
     election.become_follower(state, msg.term, msg.source)
@@ -130,7 +139,7 @@
     match_index: int,
 ) -> None:
     reply = AppendReply(
-        group=state.group,
+        group=msg.group,
         source=state.member_id,
         target=msg.source,
         term=state.term,
@@ -147,7 +156,7 @@
     if msg.term < state.term:
         _reply(state, msg, ok=False, match_index=0)
         return
-    _follow(state, msg)
+    _follow(state, msg, joins=True)
     snapshot = msg.snapshot
     if snapshot.index > state.commit:
         restore(state, snapshot)
--- a/greengagemoor/control/state.py
+++ b/greengagemoor/control/state.py
@@ -4,19 +4,20 @@
 
 import enum
 import random
-from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
 
 from greengagemoor.control.log import Log
 from greengagemoor.control.machine import Machine
-from greengagemoor.control.messages import HardState, Persist, Send
+from greengagemoor.control.messages import Send
+from greengagemoor.control.writes import Disk, Held
 from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from greengagemoor.control.commands import LogEntry, Member, Snapshot
     from greengagemoor.control.documents import ApplyResult
+    from greengagemoor.control.joinmessages import JoinReply
     from greengagemoor.control.ledger import ClaimAnswer
     from greengagemoor.control.messages import OpKind
 
@@ -95,37 +96,6 @@
     result: ApplyResult | ClaimAnswer | None
 
 
-@values.frozen
-class Held:
-    """Something that must wait for a sync: a message, or the own vote."""
-
-    op: int
-    send: Send | None = None
-    vote_term: int = 0
-
-
-@attrs.define(eq=False, repr=False)
-class Disk:
-    """What has been handed to the disk, and what is known to be synced.
-
-    Attributes:
-        op: last operation handed over.
-        synced_op: last operation known to be synced.
-        synced_index: last log index known to be synced.
-        under_way: (op, last log index) of operations not yet synced.
-    """
-
-    op: int = 0
-    synced_op: int = 0
-    synced_index: int = 0
-    under_way: deque[tuple[int, int]] = attrs.field(factory=deque)
-    hard_changed: bool = False
-    entries: list[LogEntry] = attrs.field(factory=list)
-    snapshot: Snapshot | None = None
-    held: deque[Held] = attrs.field(factory=deque)
-    new_held: list[Held] = attrs.field(factory=list)
-
-
 @attrs.define(eq=False, repr=False)
 class Joining:
     """What a process outside a group knows of its way into one.
@@ -133,19 +103,45 @@
     Attributes:
         since: when it began to ask; None while it has no reason to.
         tell_at: when operators are told next.
+        ask_at: when it asks next.
+        round: how often it has asked since its start.
+        asks: how often it has asked since ``since``.
+        turn: who is asked next, in the order of what is known.
         asked: instances that were asked last.
-        replies: the group of each instance that answered, '' for none.
+        leader: instance that was last said to lead.
+        contacts: addresses of members by instance, as others told them.
+        replies: the last reply of each instance that answered.
     """
 
     since: float | None = None
     tell_at: float = 0.0
+    ask_at: float = 0.0
+    round: int = 0
+    asks: int = 0
+    turn: int = 0
     asked: tuple[str, ...] = ()
-    replies: dict[str, str] = attrs.field(factory=dict)
+    leader: str = ""
+    contacts: dict[str, str] = attrs.field(factory=dict)
+    replies: dict[str, JoinReply] = attrs.field(factory=dict)
+
+
+@values.frozen
+class Joiner:
+    """A process that asked the leader to be taken in."""
+
+    member: Member
+    asked_at: float
 
 
 @attrs.define(eq=False, repr=False)
 class State:
-    """One member: its durable fields, its role and its output of a tick."""
+    """One member: its durable fields, its role and its output of a tick.
+
+    Attributes:
+        peers: peer addresses of the settings' other control instances.
+        founders: those with which this one may found a group; None when it
+            was not told to.
+    """
 
     instance: str
     member_id: str
@@ -153,7 +149,7 @@
     peers: dict[str, str]
     rng: random.Random
     timing: Timing = attrs.field(factory=Timing)
-    new_group: bool = False
+    founders: dict[str, str] | None = None
     now: float = 0.0
     out: list = attrs.field(factory=list)
     disk: Disk = attrs.field(factory=Disk)
@@ -175,7 +171,6 @@
     told_members: dict[str, Member] = attrs.field(factory=dict)
     heard_leader_at: float = float("-inf")
     election_at: float = 0.0
-    join_at: float = 0.0
     started_at: float = 0.0
     joining: Joining = attrs.field(factory=Joining)
     failure: str = ""
@@ -184,6 +179,7 @@
     votes: set[str] = attrs.field(factory=set)
     # Leader.
     progress: dict[str, Progress] = attrs.field(factory=dict)
+    joiners: dict[str, Joiner] = attrs.field(factory=dict)
     round: int = 0
     heartbeat_at: float = 0.0
     broadcast_due: bool = False
@@ -250,62 +246,3 @@
         """Sets the next election time, spread so that few collide."""
         spread = self.timing.election * (1 + self.rng.random())
         self.election_at = self.now + spread
-
-
-def flush(state: State) -> None:
-    """Hands the tick's writes to the disk and releases what was synced."""
-    disk = state.disk
-    if disk.hard_changed or disk.entries or disk.snapshot:
-        disk.op += 1
-        hard = HardState(state.group, state.term, state.voted_for)
-        if disk.snapshot:
-            # The disk starts a new log behind a snapshot: it needs the whole
-            # tail, since entries written before may belong to another log.
-            disk.hard_changed = True
-            start = disk.snapshot.index + 1
-            disk.entries = list(state.log.slice(start, state.log.last_index))
-        state.out.append(
-            Persist(
-                op=disk.op,
-                hard=hard if disk.hard_changed else None,
-                entries=tuple(disk.entries),
-                snapshot=disk.snapshot,
-            )
-        )
-        disk.under_way.append((disk.op, state.log.last_index))
-        disk.hard_changed = False
-        disk.entries = []
-        disk.snapshot = None
-    disk.held.extend(attrs.evolve(h, op=disk.op) for h in disk.new_held)
-    disk.new_held = []
-
-
-def note_replaced(state: State, index: int) -> None:
-    """Takes back what counts as synced from ``index`` on.
-
-    An operation still under way may name a last index whose entry has been
-    replaced since; its sync says nothing of the new entry there.
-    """
-    disk = state.disk
-    disk.synced_index = min(disk.synced_index, index - 1)
-    disk.under_way = deque(
-        (op, min(last, index - 1)) for op, last in disk.under_way
-    )
-
-
-def note_synced(state: State, op: int) -> list[Held]:
-    """Takes in that ``op`` is synced; returns what waited for it."""
-    disk = state.disk
-    disk.synced_op = max(disk.synced_op, op)
-    while disk.under_way and disk.under_way[0][0] <= op:
-        _, disk.synced_index = disk.under_way.popleft()
-    return release(state)
-
-
-def release(state: State) -> list[Held]:
-    """Returns held items whose sync is done, in order."""
-    disk = state.disk
-    released = []
-    while disk.held and disk.held[0].op <= disk.synced_op:
-        released.append(disk.held.popleft())
-    return released
--- /dev/null
+++ b/greengagemoor/control/writes.py
@@ -0,0 +1,106 @@
+"""What a member has handed to its disk, and what waits for the sync."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from greengagemoor.control.messages import HardState, Persist
+from greengagemoor.util import values
+
+if TYPE_CHECKING:
+    from greengagemoor.control.commands import LogEntry, Snapshot
+    from greengagemoor.control.messages import Send
+    from greengagemoor.control.state import State
+
+
+@values.frozen
+class Held:
+    """Something that must wait for a sync: a message, or the own vote."""
+
+    op: int
+    send: Send | None = None
+    vote_term: int = 0
+
+
+@attrs.define(eq=False, repr=False)
+class Disk:
+    """What has been handed to the disk, and what is known to be synced.
+
+    Attributes:
+        op: last operation handed over.
+        synced_op: last operation known to be synced.
+        synced_index: last log index known to be synced.
+        under_way: (op, last log index) of operations not yet synced.
+    """
+
+    op: int = 0
+    synced_op: int = 0
+    synced_index: int = 0
+    under_way: deque[tuple[int, int]] = attrs.field(factory=deque)
+    hard_changed: bool = False
+    entries: list[LogEntry] = attrs.field(factory=list)
+    snapshot: Snapshot | None = None
+    held: deque[Held] = attrs.field(factory=deque)
+    new_held: list[Held] = attrs.field(factory=list)
+
+
+def flush(state: State) -> None:
+    """Hands the tick's writes to the disk and releases what was synced."""
+    disk = state.disk
+    if disk.hard_changed or disk.entries or disk.snapshot:
+        disk.op += 1
+        hard = HardState(state.group, state.term, state.voted_for)
+        if disk.snapshot:
+            # The disk starts a new log behind a snapshot: it needs the whole
+            # tail, since entries written before may belong to another log.
+            disk.hard_changed = True
+            start = disk.snapshot.index + 1
+            disk.entries = list(state.log.slice(start, state.log.last_index))
+        state.out.append(
+            Persist(
+                op=disk.op,
+                hard=hard if disk.hard_changed else None,
+                entries=tuple(disk.entries),
+                snapshot=disk.snapshot,
+            )
+        )
+        disk.under_way.append((disk.op, state.log.last_index))
+        disk.hard_changed = False
+        disk.entries = []
+        disk.snapshot = None
+    disk.held.extend(attrs.evolve(h, op=disk.op) for h in disk.new_held)
+    disk.new_held = []
+
+
+def note_replaced(state: State, index: int) -> None:
+    """Takes back what counts as synced from ``index`` on.
+
+    An operation still under way may name a last index whose entry has been
+    replaced since; its sync says nothing of the new entry there.
+    """
+    disk = state.disk
+    disk.synced_index = min(disk.synced_index, index - 1)
+    disk.under_way = deque(
+        (op, min(last, index - 1)) for op, last in disk.under_way
+    )
+
+
+def note_synced(state: State, op: int) -> list[Held]:
+    """Takes in that ``op`` is synced; returns what waited for it."""
+    disk = state.disk
+    disk.synced_op = max(disk.synced_op, op)
+    while disk.under_way and disk.under_way[0][0] <= op:
+        _, disk.synced_index = disk.under_way.popleft()
+    return release(state)
+
+
+def release(state: State) -> list[Held]:
+    """Returns held items whose sync is done, in order."""
+    disk = state.disk
+    released = []
+    while disk.held and disk.held[0].op <= disk.synced_op:
+        released.append(disk.held.popleft())
+    return released
--- a/greengagemoor/node.py
+++ b/greengagemoor/node.py
@@ -13,6 +13,7 @@
 from greengagemoor.control import messages as control
 from greengagemoor.control.client import Ask, ControlClient, Done
 from greengagemoor.control.decider import ControlDecider
+from greengagemoor.control.joinmessages import SeedsChanged
 from greengagemoor.control.messages import OpKind, Received, Send
 from greengagemoor.membership import messages as membership
 from greengagemoor.membership.decider import MembershipDecider
@@ -134,6 +135,8 @@
             if f"i:{name}" in table.gone_since
         }
         self.client.targets = sorted((found | self._first_targets) - gone)
+        if self.control is not None and self.control.is_outside:
+            self.control.meet({n: self._address_of(n) for n in found - gone})
 
     def _read_when_due(self, inboxes: _Inboxes) -> None:
         """Reads from a quorum after a start, before callers are served.
@@ -278,4 +281,5 @@
     control.Persisted,
     control.PersistFailed,
     control.Recovered,
+    SeedsChanged,
 )
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -15,6 +15,7 @@
 from greengagemoor.control.client import Ask, ControlClient, Done
 from greengagemoor.control.commands import PutDocument
 from greengagemoor.control.decider import ControlDecider
+from greengagemoor.control.joinmessages import SeedsChanged
 from greengagemoor.control.state import Timing
 from greengagemoor.errors import DocumentError, InvalidInputError
 from greengagemoor.feed import messages as feed
@@ -61,7 +62,10 @@
         self._hub = Hub(HubTiming(announce=cfg.announce_s), cfg.instance)
         self._client = ControlClient([cfg.instance], self._rng)
         self._durable = Durable(
-            cfg.data_folder, cfg.instance, self._ticker.put_threadsafe
+            cfg.data_folder,
+            cfg.instance,
+            self._ticker.put_threadsafe,
+            _others(cfg) if cfg.founds else None,
         )
         self._decider: ControlDecider | None = None
         self._beliefs = Beliefs()
@@ -100,17 +104,14 @@
 
     async def _recover(self) -> None:
         """Opens the data folder and starts the member that it belongs to."""
-        member_id, recovered = await self._durable.open()
+        opened = await self._durable.open()
         now = self.clock.now()
         self._hub.begin_with(now, self._durable.kept_rows(OWN_ROWS))
         self._hub.begin_with_others(now, self._durable.kept_rows(OTHER_ROWS))
-        peers = {_name(seed): seed for seed in self.cfg.seeds}
-        founds = self.cfg.new_group and self.cfg.instance in peers
-        peers.pop(self.cfg.instance, None)
         self._decider = ControlDecider(
-            member_id,
+            opened.member_id,
             self.cfg.peer_address,
-            peers,
+            _others(self.cfg),
             random.Random(self._rng.getrandbits(64)),
             Timing(
                 heartbeat=HEARTBEAT_S,
@@ -118,14 +119,15 @@
                 join=JOIN_S,
                 retire=self.cfg.catch_up_s,
             ),
-            new_group=founds,
+            founders=opened.founders,
         )
-        self._ticker.put(recovered)
+        self._ticker.put(opened.recovered)
 
     def reload(self, cfg: ServingSettings) -> None:
         """Takes in changed settings: new seeds are dialled beside the old."""
         self.cfg = cfg
         self._links.want(set(cfg.seeds))
+        self._ticker.put(SeedsChanged(_others(cfg)))
 
     async def stop(self) -> None:
         """Ends after what was handed to the disk is synced."""
@@ -252,12 +254,17 @@
         self._hub.set_services(frozenset(table.services))
 
     def _follow_members(self) -> None:
-        """Links to all members, and tells entries of them."""
+        """Links to all members, and tells entries of them.
+
+        Outside a group also to whoever may know one: operators' calls are
+        passed on to its leader, wherever it is.
+        """
         state = self._decider.state
+        contacts = self._decider.contacts()
+        self._links.want(set(contacts.values()))
         addresses = {m.address for m in state.members.values()}
-        self._links.want(addresses)
-        names = sorted({m.instance for m in state.members.values()})
-        self._client.targets = names or [_name(s) for s in self.cfg.seeds]
+        names = {m.instance for m in state.members.values()}
+        self._client.targets = sorted(names.union(contacts))
         self._hub.set_peers(tuple(sorted(addresses)), frozenset(names))
 
     def _gauges(self) -> dict[str, float]:
@@ -282,6 +289,8 @@
         asyncio.get_running_loop().create_task(self._recover())
 
 
-def _name(address: str) -> str:
-    """Control instances are named by their IP: seeds tell no more."""
-    return address.partition(":")[0]
+def _others(cfg: ServingSettings) -> dict[str, str]:
+    """Returns the seeds but this one; control instances are named by IP."""
+    named = {seed.partition(":")[0]: seed for seed in cfg.seeds}
+    named.pop(cfg.instance, None)
+    return named
--- a/greengagemoor/serving/durable.py
+++ b/greengagemoor/serving/durable.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
 from greengagemoor.shell.disk import DiskWriter
 from greengagemoor.storage.folder import DataFolder
 from greengagemoor.storage.store import Store
+from greengagemoor.util import values
 from greengagemoor.wire import codec
 
 if TYPE_CHECKING:
@@ -27,31 +29,53 @@
 OPEN_AGAIN_S = 0.5
 OWN_ROWS = "searchers.bin"
 OTHER_ROWS = "searchers-of-others.bin"
+FOUNDERS = "FOUNDERS.json"
+
+
+@values.frozen
+class Opened:
+    """An open data folder.
+
+    Attributes:
+        member_id: the member that the folder stands for.
+        recovered: what it holds.
+        founders: peer addresses, by instance, of those with which this member
+            was told to found a group when its folder was made; else None.
+    """
+
+    member_id: str
+    recovered: Recovered
+    founders: dict[str, str] | None
 
 
 class Durable:
     """Opens, writes and closes the durable state."""
 
-    def __init__(self, path: str, owner: str, put: Callable[[object], None]):
+    def __init__(
+        self,
+        path: str,
+        owner: str,
+        put: Callable[[object], None],
+        founders: dict[str, str] | None = None,
+    ):
         """Prepares; ``open`` touches the disk.
 
         Args:
             path: the data folder.
             owner: the instance that it belongs to.
             put: takes ``Persisted`` and ``PersistFailed``, from any thread.
+            founders: with whom the settings say to found a group; a folder
+                that is made now keeps them.
         """
         self._path = Path(path)
         self._owner = owner
         self._put = put
+        self._founders = founders
         self._writer: DiskWriter | None = None
         self._folder: DataFolder | None = None
 
-    async def open(self) -> tuple[str, Recovered]:
-        """Opens the folder; tries until the disk takes writes.
-
-        Returns:
-            The member id that the folder stands for, and what it holds.
-        """
+    async def open(self) -> Opened:
+        """Opens the folder; tries until the disk takes writes."""
         await self.close()
         loop = asyncio.get_running_loop()
         while True:
@@ -66,9 +90,10 @@
                 await loop.run_in_executor(None, self._empty)
             await asyncio.sleep(OPEN_AGAIN_S)
 
-    def _open(self) -> tuple[str, Recovered]:
+    def _open(self) -> Opened:
         folder = DataFolder(self._path, self._owner)
         try:
+            founders = self._keep_founders(folder)
             store = Store(folder)
             recovered = store.recover()
         except Exception:
@@ -79,7 +104,25 @@
         self._writer.start()
         member_id = f"{self._owner}#{folder.format.identity}"
         log.event("disk_open", member=member_id, entries=len(recovered.entries))
-        return member_id, recovered
+        return Opened(member_id, recovered, founders)
+
+    def _keep_founders(self, folder: DataFolder) -> dict[str, str] | None:
+        """Keeps in a new folder that it may found, as long as it lasts.
+
+        Settings say so at the first start only. If the first founder loses
+        its disk and all are killed before the group stands, nobody would
+        know any more that somebody may found.
+        """
+        told, self._founders = self._founders, None
+        if told is not None and folder.is_new:
+            folder.write_whole(FOUNDERS, json.dumps(told).encode())
+        path = self._path / FOUNDERS
+        if not path.exists():
+            return None
+        try:
+            return json.loads(path.read_bytes())
+        except ValueError as exc:
+            raise CorruptRecordError(f"{FOUNDERS}: {exc}") from exc
 
     def _empty(self) -> None:
         for path in self._path.iterdir():
--- a/greengagemoor/serving/inboxes.py
+++ b/greengagemoor/serving/inboxes.py
@@ -4,8 +4,10 @@
 
 from greengagemoor.control import messages as control
 from greengagemoor.control.client import Ask
+from greengagemoor.control.joinmessages import SeedsChanged
 from greengagemoor.feed import messages as feed
 
+_DECIDER_MESSAGES = (control.Persisted, control.Recovered, SeedsChanged)
 _HUB_PAYLOADS = (
     feed.Subscribe,
     feed.SearcherRows,
@@ -26,7 +28,7 @@
     """Whether the control group's member takes it."""
     if isinstance(msg, control.Received):
         return isinstance(msg.payload, control.MEMBER_PAYLOADS)
-    return isinstance(msg, (control.Persisted, control.Recovered))
+    return isinstance(msg, _DECIDER_MESSAGES)
 
 
 def is_for_hub(msg: object) -> bool:
--- a/greengagemoor/serving/settings.py
+++ b/greengagemoor/serving/settings.py
@@ -59,3 +59,8 @@
         default=10.0, validator=in_range(0.1, 3600.0)
     )
     seed: int = 0
+
+    @property
+    def founds(self) -> bool:
+        """Whether this process is told to found the control group."""
+        return self.new_group and self.peer_address in self.seeds
--- a/greengagemoor/storage/folder.py
+++ b/greengagemoor/storage/folder.py
@@ -42,12 +42,15 @@
     def __init__(self, path: str | Path, owner: str):
         """Opens or makes the folder and takes its lock.
 
+        ``is_new`` says whether it was made now, with a new identity.
+
         Raises:
             FolderLockedError: another process holds it.
             FolderMismatchError: another owner or an unknown format.
         """
         self.path = Path(path)
         self.path.mkdir(parents=True, exist_ok=True)
+        self.is_new = False
         self._lock = self._take_lock()
         try:
             self.format = self._open_format(owner)
@@ -98,6 +101,7 @@
             FORMAT_VERSION, owner, os.urandom(IDENTITY_BYTES).hex()
         )
         self.write_whole(file.name, json.dumps(attrs.asdict(made)).encode())
+        self.is_new = True
         return made
 
     def write_whole(self, name: str, data: bytes) -> None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -11,6 +11,7 @@
 
 from greengagemoor.backends import BackendServer, HeldVersion, ServerState
 from greengagemoor.control.decider import ControlDecider
+from greengagemoor.control.joinmessages import SeedsChanged
 from greengagemoor.control.messages import (
     Persist,
     Persisted,
@@ -85,6 +86,7 @@
     """What a disk holds; what is not synced is lost in a crash."""
 
     identity: str
+    founders: dict[str, str] | None = None
     synced: list[Persist] = attrs.field(factory=list)
 
     def recovered(self) -> Recovered:
@@ -165,17 +167,21 @@
         rng = random.Random(f"{name}{self._lives[name]}")
         control = None
         if "control" in cfg["roles"]:
+            others = {n: a for n, a in group.items() if n != name}
+            told = name in group
+            if self.founds_once and self._lives[name] > 1:
+                told = False
+            founders = others if told else None
             disk = self.disks.setdefault(
-                name, FakeDisk(f"d{next(self._identities)}")
+                name, FakeDisk(f"d{next(self._identities)}", founders)
             )
-            others = {n: a for n, a in group.items() if n != name}
             control = ControlDecider(
                 f"{name}#{disk.identity}",
                 f"{name}:1",
                 others,
                 rng,
                 ControlTiming(0.15 * self.pace, 1.0 * self.pace),
-                new_group=not (self.founds_once and self._lives[name] > 1),
+                founders=founders if told else disk.founders,
             )
         entry = "entry" in cfg["roles"]
         self.nodes[name] = Node(
@@ -191,6 +197,13 @@
         if control is not None:
             self.put(name, self.disks[name].recovered())
 
+    def reseed(self, name: str, group) -> None:
+        """Changes the settings of a node, while it runs or before a start."""
+        self._configs[name]["group"] = group
+        seeds = {n: f"{n}:1" for n in group}
+        if name in self.nodes:
+            self.put(name, SeedsChanged(seeds))
+
     def kill(self, name: str) -> None:
         """Ends a node; what it had not synced is lost."""
         self._lives[name] += 1
--- a/tests/test_control/helpers.py
+++ b/tests/test_control/helpers.py
@@ -11,6 +11,7 @@
 from tests.fakes import FakeFleet
 
 GROUP = ("c1", "c2", "c3")
+GOSSIP_S = 2.0
 
 
 def start_group(names=GROUP, seed: int = 1, pace: float = 1.0) -> FakeFleet:
@@ -19,6 +20,8 @@
     for name in names:
         fleet.add(name, ("control",), group=names)
     fleet.run_until(lambda: is_whole(fleet, names))
+    # A group is whole before gossip has told anybody of all its members.
+    fleet.run(GOSSIP_S * pace)
     return fleet
 
 
--- a/tests/test_control/test_joining.py
+++ b/tests/test_control/test_joining.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from greengagemoor.codes import Code
+from greengagemoor.control.joining import ASKED_AT_ONCE, LONGEST_PAUSE
+from greengagemoor.control.joinmessages import JoinReply, JoinRequest
+from greengagemoor.control.messages import Received
 from tests.test_control.helpers import (
     Operator,
     add_newcomer,
@@ -112,3 +115,108 @@
         seeds = [n for n in FIVE if n != fleet.leader()][:2]
         add_newcomer(fleet, "c6", seeds)
         fleet.run_until(lambda: is_voter(fleet, "c6"), most=20.0)
+
+    def test_how_soon(self):
+        """In the list within three heartbeats of its first request."""
+        for seed in range(1, 11):
+            fleet = start_group(FIVE, seed)
+            seeds = [n for n in FIVE if n != fleet.leader()][:2]
+            add_newcomer(fleet, "c6", seeds)
+            heartbeat = fleet.nodes["c6"].control.state.timing.heartbeat
+            took = fleet.run_until(lambda f=fleet: is_voter(f, "c6"))
+            assert took <= 3 * heartbeat
+
+    def test_seeds_change_before_it_starts(self):
+        """All that its settings named at first are gone."""
+        fleet = start_group(FIVE)
+        add_newcomer(fleet, "c6", ["gone-1", "gone-2"])
+        fleet.kill("c6")
+        fleet.reseed("c6", [n for n in FIVE if n != fleet.leader()][:1])
+        fleet.start("c6")
+        fleet.run_until(lambda: is_voter(fleet, "c6"), most=1.0)
+
+    def test_seeds_change_while_it_asks(self):
+        fleet = start_group(FIVE)
+        add_newcomer(fleet, "c6", ["gone-1", "gone-2"])
+        fleet.run(30.0)
+        assert not is_voter(fleet, "c6")
+        fleet.reseed("c6", [n for n in FIVE if n != fleet.leader()][:1])
+        fleet.run_until(lambda: is_voter(fleet, "c6"), most=1.0)
+
+    def test_seeds_change_for_one_that_was_taken_out(self):
+        """Cut off for a minute; all that it knew are replaced meanwhile."""
+        fleet = start_group(FIVE)
+        lone = next(n for n in FIVE if n != fleet.leader())
+        fleet.cut_off(lone)
+        fleet.run(30.0)
+        for number, lost in enumerate((n for n in FIVE if n != lone), 6):
+            new = f"c{number}"
+            left = [n for n in fleet.nodes if n not in (lone, lost)]
+            add_newcomer(fleet, new, left[:2])
+            fleet.run_until(lambda n=new: is_voter(fleet, n), most=5.0)
+            fleet.kill(lost)
+            fleet.lose_disk(lost)
+            fleet.run(15.0)
+        assert not is_voter(fleet, lone)
+        fleet.heal()
+        fleet.reseed(lone, ["c6"])
+        fleet.run_until(lambda: is_voter(fleet, lone), most=5.0)
+
+    def test_seeds_that_wait_themselves(self):
+        """Two newcomers name each other, and one of them a member."""
+        fleet = start_group(FIVE)
+        seed = next(n for n in FIVE if n != fleet.leader())
+        add_newcomer(fleet, "c6", ["c7"])
+        add_newcomer(fleet, "c7", [seed, "c6"])
+        fleet.run_until(
+            lambda: is_voter(fleet, "c6") and is_voter(fleet, "c7"), most=5.0
+        )
+
+
+class TestStorm:
+    """Many outside cost the members little, and nothing goes in circles."""
+
+    NUMBER = 300
+
+    def test_nobody_leads(self):
+        """300 ask five members that have no leader, and are told so."""
+        fleet = start_group(FIVE)
+        for name in FIVE[:3]:
+            fleet.kill(name)
+        fleet.run(3.0)
+        for number in range(self.NUMBER):
+            add_newcomer(fleet, f"n{number}", FIVE)
+        fleet.run(10.0)
+        fleet.sent.clear()
+        fleet.run(10.0)
+        join = fleet.nodes["n0"].control.state.timing.join
+        rounds = 10.0 / (join * LONGEST_PAUSE) + 1
+        most = self.NUMBER * rounds * (ASKED_AT_ONCE + 1)
+        assert fleet.sent[JoinRequest] <= most
+        assert fleet.sent[JoinReply] <= most
+
+    def test_all_are_taken_in_by_few_changes(self):
+        """They have no vote yet, so one change takes in all that wait."""
+        fleet = start_group(FIVE)
+        leader = fleet.leader()
+        seeds = [n for n in FIVE if n != leader][:3]
+        state = fleet.nodes[leader].control.state
+        before = state.log.last_index
+        for number in range(30):
+            add_newcomer(fleet, f"n{number}", seeds)
+        fleet.run_until(lambda: len(state.members) == 35, most=1.0)
+        promoted = len(state.voters) - len(FIVE)
+        assert state.log.last_index - before - promoted <= 10
+
+    def test_a_passed_on_request_stops_at_the_next(self):
+        """Two that take each other for the leader send nothing in circles."""
+        fleet = start_group(FIVE)
+        one, other = [n for n in FIVE if n != fleet.leader()][:2]
+        for name, wrong in ((one, other), (other, one)):
+            state = fleet.nodes[name].control.state
+            state.leader = f"{wrong}#{fleet.disks[wrong].identity}"
+        fleet.sent.clear()
+        request = JoinRequest("n#1", "n", "n:1", round=1)
+        fleet.put(one, Received("n", request))
+        fleet.run(0.01)
+        assert fleet.sent[JoinRequest] == 1
