--- a/tests/test_control/helpers.py
+++ b/tests/test_control/helpers.py
@@ -105,11 +105,12 @@
     Gossip of other roles is lost, so that control instances find each other
     by what the control group says itself.
     """
-    fleet.loses = _is_gossip
+    fleet.loses = is_gossip
     fleet.add(name, ("control",), group=tuple(seeds))
 
 
-def _is_gossip(msg) -> bool:
+def is_gossip(msg) -> bool:
+    """Whether a message is none of the control group's own."""
     return not isinstance(msg.payload, (*MEMBER_PAYLOADS, OpReply))
 
 
