An instance outside the group acknowledges nothing that no entry hears

Cause: entries are told of members; a newcomer listens for searchers before it is one. With no entry linked, an acknowledgement had nobody to wait for, and a searcher that drained there was acknowledged at once. Change: it refuses announcements while it is outside and no entry has linked to it; the searcher calls the next instance. At the first start entries link to the seeds before there is a group, so these take announcements as before. An operator's call at an instance outside goes on to whoever it was told of. Ruled out: refusing while the folder is not open yet (a group that comes back from a loss of power has its entries' links within moments, and a refusal then costs searchers their place for a heartbeat).

--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -59,8 +59,8 @@
         self._others = OtherRows(LOST_AFTER_BEATS * timing.announce, FORGET_S)
         self._slow = SlowTable()
         self._services: frozenset[str] | None = None
+        self._outside = False
         self._sweep_at = 0.0
-        self._turn = 0
         self._now = 0.0
         self._out: list = []
 
@@ -83,10 +83,9 @@
                 ``LinkDown``, ``NumberedAccepted``.
 
         Returns:
-            ``Send`` and ``AnnouncementTaken``.
+            ``Send``, ``AnnouncementTaken`` and ``AnnouncementRefused``.
         """
-        self._now = now
-        self._out = []
+        self._now, self._out = now, []
         for msg in msgs:
             self._take(msg)
         self._drive_subscribe()
@@ -98,40 +97,27 @@
 
     def next_wake(self) -> float:
         """Returns when a tick is due although no message came."""
-        release = self._subscribers.next_release
-        return (
-            self._sweep_at if release is None else min(self._sweep_at, release)
-        )
+        times = (self._sweep_at, self._subscribers.next_release)
+        return min(at for at in times if at is not None)
 
     def entries_for_caller(self) -> list[m.Subscribe]:
-        """Returns the entries that a caller may be given.
-
-        Each time another one comes first: an answer may name a part only, and
-        14 of 78 entries would otherwise never get a caller.
-        """
-        entries = self._ready_entries()
-        if not entries:
-            return []
-        self._turn = (self._turn + 1) % len(entries)
-        return entries[self._turn :] + entries[: self._turn]
-
-    def _ready_entries(self) -> list[m.Subscribe]:
-        return [one for one in self._subscribers.entries() if one.ready]
+        """Returns the entries that a caller may be given."""
+        return self._subscribers.ready_in_turn()
 
     def gauges(self) -> dict[str, float]:
         """Returns numbers of the moment, for metrics."""
         states = Counter(row.state.value for row in self._heard.rows())
         return {
             "entries_linked": len(self._subscribers.entries()),
-            "entries_ready": len(self._ready_entries()),
+            "entries_ready": len(self._subscribers.ready()),
             "acknowledgements_held": self._subscribers.held,
             **{f"searchers_{name}": n for name, n in states.items()},
         }
 
     def kept_rows(self) -> m.SearcherRows:
         """Returns what a restart of this instance should begin with."""
-        rows = self._heard.rows()
-        kept = tuple(r for r in rows if r.state is not SearcherState.GONE)
+        gone = SearcherState.GONE
+        kept = tuple(r for r in self._heard.rows() if r.state is not gone)
         return m.SearcherRows(self._number, True, kept)
 
     def kept_others(self) -> m.SearcherRows:
@@ -167,6 +153,15 @@
             self._peers = addresses
             self._peers_changed = True
 
+    def set_outside(self, outside: bool) -> None:
+        """Sets whether this control instance is outside any group.
+
+        Entries are told of members only. As long as none has linked to an
+        instance outside by itself, a drain that it acknowledged would be
+        heard by nobody; the searcher turns to another instance instead.
+        """
+        self._outside = outside
+
     def set_services(self, names: frozenset[str]) -> None:
         """Sets the services that the document in force names.
 
@@ -201,6 +196,9 @@
             self._out.append(Send(name, self._me))
 
     def _take_announced(self, msg: m.Announced) -> None:
+        if self._is_unheard():
+            self._out.append(m.AnnouncementRefused(msg.token))
+            return
         row = msg.row
         named = self._services is None or row.service in self._services
         if self._heard.announce(self._now, row, displaces=named):
@@ -208,7 +206,13 @@
         else:
             self._out.append(m.AnnouncementTaken(msg.token))
 
+    def _is_unheard(self) -> bool:
+        return self._outside and not self._subscribers.entries()
+
     def _take_leaving(self, msg: m.Leaving) -> None:
+        if self._is_unheard():
+            self._out.append(m.AnnouncementRefused(msg.token))
+            return
         start = msg.start
         if start is None:
             # It doesn't say which start ends; the newest one known is meant.
--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -194,6 +194,13 @@
     token: object
 
 
+@values.frozen
+class AnnouncementRefused:
+    """The announcement was not taken in; another instance may take it."""
+
+    token: object
+
+
 @values.frozen
 class LinkUp:
     """A link to a process of ours works; ``name`` is that process."""
--- a/greengagemoor/feed/subscribers.py
+++ b/greengagemoor/feed/subscribers.py
@@ -44,6 +44,7 @@
         self._rows: dict[str, _Subscriber] = {}
         self._entries_seen: dict[str, float] = {}
         self._waiting: deque[_Waiting] = deque()
+        self._turn = 0
 
     def __iter__(self) -> Iterator[str]:
         """Goes through their names."""
@@ -129,3 +130,19 @@
         """Returns the entries that are linked."""
         rows = self._rows.values()
         return [one.subscribe for one in rows if one.is_entry]
+
+    def ready(self) -> list[Subscribe]:
+        """Returns the linked entries that take requests."""
+        return [one for one in self.entries() if one.ready]
+
+    def ready_in_turn(self) -> list[Subscribe]:
+        """Returns the linked entries that take requests.
+
+        Each time another one comes first: an answer may name a part only, and
+        14 of 78 entries would otherwise never get a caller.
+        """
+        entries = self.ready()
+        if not entries:
+            return []
+        self._turn = (self._turn + 1) % len(entries)
+        return entries[self._turn :] + entries[: self._turn]
--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -179,6 +179,10 @@
         """Acknowledges, and names where later announcements go."""
         return _json(200, {"heartbeat-addr": again_at})
 
+    def write_unheard(self) -> Reply:
+        """Not acknowledged: the searcher calls the next instance."""
+        return Reply(503, _retry_after(0.1))
+
     def write_put(self, accepted: bool, faults: str = "") -> Reply:
         """Acknowledged, invalid, or to be sent again."""
         if faults:
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -232,6 +232,8 @@
         elif isinstance(msg, feed.AnnouncementTaken):
             reply = self._dialect.write_announced(self.cfg.control_address)
             self._calls.answer(msg.token, reply)
+        elif isinstance(msg, feed.AnnouncementRefused):
+            self._calls.answer(msg.token, self._dialect.write_unheard())
         elif isinstance(msg, Done):
             self._calls.take_done(msg)
         else:
@@ -266,6 +268,7 @@
         names = {m.instance for m in state.members.values()}
         self._client.targets = sorted(names.union(contacts))
         self._hub.set_peers(tuple(sorted(addresses)), frozenset(names))
+        self._hub.set_outside(not state.group)
 
     def _gauges(self) -> dict[str, float]:
         return {
--- a/greengagemoor/serving/dialect.py
+++ b/greengagemoor/serving/dialect.py
@@ -131,6 +131,9 @@
     def write_announced(self, again_at: str) -> Reply:
         """Acknowledges an announcement; later ones go to ``again_at``."""
 
+    def write_unheard(self) -> Reply:
+        """Refuses an announcement here; other instances may take it."""
+
     def write_put(self, accepted: bool, faults: str = "") -> Reply:
         """Answers a put: accepted, or refused for its faults, or unknown."""
 
