The soak replaces control machines and changes seeds; what it found, red

Change: control machines are replaced at other addresses, seeds change while processes run, disks are lost whenever the leader says that it can be borne; when calm, all control instances that run must have a vote. Ruled out: a slow start (it waited for 32 s, and its links stood).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,12 +6,12 @@
 import asyncio
 import random
 import shutil
-import signal
 import sys
 import tempfile
 from pathlib import Path
 
 from greengagemoor import log
+from soak import faults
 from soak.callers import SERVICES, Caller, Operator
 from soak.searchers import Searcher
 from soak.world import World
@@ -124,7 +124,7 @@
         end = loop.time() + self.seconds
         pending = set()
         while loop.time() < end:
-            fault = self.rng.choice(FAULTS)
+            fault = self.rng.choice(faults.ALL)
             self.events.append(f"{fault.__name__}")
             pending.add(asyncio.create_task(fault(self)))
             await asyncio.sleep(self.rng.uniform(0.3, 3.0))
@@ -136,6 +136,7 @@
         if sum(good) < RECOVERED_SHARE * len(good):
             self.world.faults.append(f"{sum(good)} of 40 served when calm")
         await self._until(self._read_back, "no read when calm")
+        await self._until(self._is_whole, "a control instance has no vote")
 
     def _check_all_serve(self) -> None:
         """Each searcher has run something since it started."""
@@ -147,83 +148,19 @@
     async def _read_back(self) -> bool:
         return await self.operator.read() is not None
 
-
-async def kill(run: Run) -> None:
-    """Kills any process; it starts again at once."""
-    run.world.kill(run.rng.choice(run.world.machines))
-
-
-async def kill_all_control(run: Run) -> None:
-    """Kills all control instances at the same moment."""
-    for machine in run.world.of_role("control"):
-        run.world.kill(machine)
-
-
-async def lose_disk(run: Run) -> None:
-    """One control instance loses its disk, once all have had time."""
-    if any(e == "lose_disk" for e in run.events[:-1]):
-        return
-    run.world.kill(run.rng.choice(run.world.of_role("control")), wipe=True)
-
-
-async def freeze(run: Run) -> None:
-    """Stops a process for some seconds."""
-    machine = run.rng.choice(run.world.machines)
-    run.world.signal(machine, signal.SIGSTOP)
-    await asyncio.sleep(run.rng.uniform(0.5, 3.0))
-    run.world.signal(machine, signal.SIGCONT)
-
-
-async def end_entry(run: Run) -> None:
-    """Ends an entry in order, and starts it again."""
-    machine = run.rng.choice(run.world.of_role("entry"))
-    process = machine.process
-    run.world.signal(machine, signal.SIGTERM)
-    while machine.process is process and process.poll() is None:
-        await asyncio.sleep(0.1)
-    if machine.process is process:
-        if process.returncode not in (0, -signal.SIGTERM):
-            run.world.faults.append(f"SIGTERM ended in {process.returncode}")
-        run.world.start(machine)
-
-
-async def slow_searcher(run: Run) -> None:
-    """A searcher turns slow."""
-    loop = asyncio.get_running_loop()
-    run.rng.choice(run.searchers).slow_until = loop.time() + 4.0
-
-
-async def crash_searcher(run: Run) -> None:
-    """A searcher ends without a word, and starts again or another one does.
-
-    Every other time it starts again under the id and the address it had.
-    """
-    searcher = run.rng.choice(run.searchers)
-    run.searchers.remove(searcher)
-    searcher.stop()
-    run.crashes += 1
-    again = searcher if run.crashes % 2 else None
-    await run.add_searcher(searcher.service, again)
-
-
-async def drain_searcher(run: Run) -> None:
-    """A searcher leaves in order; another one starts elsewhere."""
-    searcher = run.rng.choice(run.searchers)
-    run.searchers.remove(searcher)
-    await run.add_searcher(searcher.service)
-    await searcher.drain()
-
-
-FAULTS = (
-    kill,
-    kill_all_control,
-    lose_disk,
-    freeze,
-    end_entry,
-    slow_searcher,
-    crash_searcher,
-    drain_searcher,
-)
+    async def bears_a_loss(self) -> bool:
+        """Whether a leader says that the group bears the loss of a disk."""
+        for machine in self.world.of_role("control"):
+            gauges = await self.world.gauges(machine)
+            if gauges.get("losses_borne", 0) >= 1:
+                return True
+        return False
+
+    async def _is_whole(self) -> bool:
+        """Whether all control instances that run have a vote again."""
+        controls = self.world.of_role("control")
+        told = [await self.world.gauges(machine) for machine in controls]
+        return all(one.get("voters", 0) >= len(controls) for one in told)
 
 
 async def _play(
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,6 +13,11 @@
 
 import attrs
 
+from greengagemoor.aio.pool import Pool
+from greengagemoor.platform.boot import METRICS_PORT
+from greengagemoor.serving.metrics import PREFIX
+from soak.searchers import call
+
 if TYPE_CHECKING:
     import random
 
@@ -20,6 +25,7 @@
 PORTS = {"front": 8226, "ready": 8227, "control": 8224, "directory": 8225}
 PEER_PORTS = "7740,7755"
 GRACE_S = 6
+SEEDS = 3
 
 
 @attrs.define(eq=False)
@@ -42,6 +48,9 @@
         self.folder = folder
         self.faults: list[str] = []
         self.runs: Counter = Counter()
+        self._pool = Pool()
+        self._net = net
+        self._controls = controls
         self.machines = [
             self._machine("control", f"127.{net}.1.{i + 1}")
             for i in range(controls)
@@ -49,6 +58,7 @@
             self._machine("entry", f"127.{net}.2.{i + 1}")
             for i in range(entries)
         ]
+        self._seeds = [m.ip for m in self.of_role("control")][:SEEDS]
 
     def _machine(self, role: str, ip: str) -> Machine:
         folder = self.folder / f"{role}-{ip}"
@@ -67,8 +77,7 @@
 
     def start(self, machine: Machine) -> None:
         """Writes the settings and starts the process."""
-        boot = machine.folder / "boot.conf"
-        boot.write_text(self._settings(machine))
+        boot = self._write_settings(machine)
         machine.bootstrap = False
         machine.starts += 1
         with (machine.folder / "log").open("ab") as out:
@@ -79,8 +88,14 @@
                 stderr=out,
             )
 
+    def _write_settings(self, machine: Machine) -> Path:
+        boot = machine.folder / "boot.conf"
+        new = boot.with_suffix(".new")
+        new.write_text(self._settings(machine))
+        return new.rename(boot)
+
     def _settings(self, machine: Machine) -> str:
-        seeds = [m.ip for m in self.of_role("control")][:3]
+        seeds = self._seeds
         lines = {
             "ip": machine.ip,
             "zone": "dc1",
@@ -106,6 +121,48 @@
             shutil.rmtree(machine.folder / "data", ignore_errors=True)
         self.start(machine)
 
+    def replace(self, machine: Machine) -> None:
+        """Ends a control machine for good; an empty one comes elsewhere.
+
+        Its settings are as stale as those of the others. One that names
+        nobody who lives can't reach anybody until it is told of others.
+        """
+        machine.process.kill()
+        machine.process.wait()
+        self.machines.remove(machine)
+        self._controls += 1
+        ip = f"127.{self._net}.1.{self._controls}"
+        new = self._machine("control", ip)
+        new.bootstrap = False
+        self.machines.append(new)
+        living = {m.ip for m in self.of_role("control")} - {ip}
+        if not living.intersection(self._seeds):
+            self.change_seeds([min(living)])
+        self.start(new)
+
+    def change_seeds(self, ips: list[str]) -> None:
+        """Writes other seeds into all settings; processes see them by and by.
+
+        A process that runs reads them within a second.
+        """
+        self._seeds = ips
+        for machine in self.machines:
+            if machine.process is not None:
+                self._write_settings(machine)
+
+    async def gauges(self, machine: Machine) -> dict[str, float]:
+        """Returns the metrics of a process; none if it doesn't answer."""
+        address = f"{machine.ip}:{METRICS_PORT}"
+        end = await call(self._pool, address, "GET", "/metrics")
+        if end is None or end.status != 200:
+            return {}
+        pairs = (line.rsplit(" ", 1) for line in end.body.decode().splitlines())
+        return {
+            name.removeprefix(PREFIX): float(value)
+            for name, value in pairs
+            if "{" not in name
+        }
+
     def signal(self, machine: Machine, number: signal.Signals) -> None:
         """Sends a signal to a process that this run started."""
         machine.process.send_signal(number)
--- a/tests/test_control/test_joining.py
+++ b/tests/test_control/test_joining.py
@@ -9,6 +9,7 @@
 from tests.test_control.helpers import (
     Operator,
     add_newcomer,
+    is_gossip,
     is_voter,
     start_group,
 )
@@ -173,6 +174,32 @@
         )
 
 
+class TestSettingsNameOnlyItself:
+    """It lost its disk, and the only seed of its settings is itself.
+
+    It asked nobody, for ever, although the leader went on sending to it: the
+    appends were for the identity that it had before, and were dropped without
+    a look at who sent them. From its log:
+
+        39.349 event=disk_open member=127.13.1.3#7ebae21093cdf7e5 entries=0
+        40.358 event=join_waiting asked="" reason=no_answer age_s=1
+        71.685 event=join_waiting asked="" reason=no_answer age_s=32.3
+    """
+
+    def test_it_asks_whoever_sends_to_its_old_identity(self):
+        fleet = start_group(FIVE)
+        fleet.founds_once = True
+        fleet.loses = is_gossip
+        lost = next(n for n in FIVE if n != fleet.leader())
+        for name in FIVE:
+            fleet.reseed(name, (lost,))
+        fleet.run(1.0)
+        fleet.kill(lost)
+        fleet.lose_disk(lost)
+        fleet.start(lost)
+        fleet.run_until(lambda: is_voter(fleet, lost), most=1.5)
+
+
 class TestStorm:
     """Many outside cost the members little, and nothing goes in circles."""
 
