Outside a group, whoever sends what members send is asked

Cause: appends and vote requests for the identity that an instance had before it lost its disk were dropped without a look at the sender. With settings that name only itself and machines that are gone, it asked nobody for ever. Change: their senders are contacts, and are asked with the others. Ruled out: asking on each link that comes up (entries link too, and can't answer); a longer list of seeds (they may all be gone).

--- a/greengagemoor/control/decider.py
+++ b/greengagemoor/control/decider.py
@@ -141,6 +141,7 @@
         if state.role is Role.FAILED:
             return
         if isinstance(msg, m.Received):
+            self._meet_sender(msg)
             self._receive_payload(msg.sender, msg.payload)
         elif isinstance(msg, m.Persisted):
             self._release(note_synced(state, msg.op))
@@ -150,6 +151,16 @@
         elif isinstance(msg, SeedsChanged):
             joining.take_seeds(state, msg)
 
+    def _meet_sender(self, msg: m.Received) -> None:
+        """Outside a group, remembers who sends what members send.
+
+        It may be for the identity that this instance had before it lost its
+        disk, and its settings may name only itself and machines that are gone.
+        """
+        is_members = type(msg.payload) in _MEMBER_HANDLERS
+        if self.is_outside and is_members and msg.address:
+            self.meet({msg.sender: msg.address})
+
     def _receive_payload(self, sender: str, payload: object) -> None:
         state = self.state
         handler = _MEMBER_HANDLERS.get(type(payload))
