--- a/bench/entry_costs.py
+++ b/bench/entry_costs.py
@@ -16,7 +16,8 @@
 import zlib
 
 from greengagemoor import log
-from greengagemoor.aio.server import HttpServer, Limits
+from greengagemoor.aio.requests import Limits
+from greengagemoor.aio.server import HttpServer
 from greengagemoor.codes import Code
 from greengagemoor.control.messages import OpReply, Received
 from greengagemoor.feed import messages as feed
--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -216,7 +216,7 @@
         self._loop.call_later(KEEP_ALIVE_S / 2, self._look_after)
 
     def want(self, addresses: set[str]) -> None:
-        """Keeps a link to each address, and to no other that was wanted."""
+        """Keeps a link to each address, beside those wanted before."""
         for address in addresses - set(self._wanted) - {self.address}:
             task = self._loop.create_task(self._keep_dialled(address))
             self._wanted[address] = task
--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -26,7 +26,7 @@
     from collections.abc import Iterable
 
     from greengagemoor.aio.client import Headers, HttpAnswer
-    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.feed.messages import Subscribe
     from greengagemoor.routing.routes import RouteTable
 
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -10,7 +10,8 @@
 
 from greengagemoor import log
 from greengagemoor.aio.links import Links
-from greengagemoor.aio.server import HttpServer, Limits
+from greengagemoor.aio.requests import Limits
+from greengagemoor.aio.server import HttpServer
 from greengagemoor.control import messages as control
 from greengagemoor.control.client import Ask, ControlClient, Done
 from greengagemoor.control.commands import PutDocument
@@ -33,7 +34,7 @@
 from greengagemoor.shell.clock import Clock
 
 if TYPE_CHECKING:
-    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.control.messages import Send
     from greengagemoor.serving.dialect import Dialect
     from greengagemoor.serving.settings import ServingSettings
--- a/greengagemoor/serving/dialect.py
+++ b/greengagemoor/serving/dialect.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from greengagemoor.aio.client import Headers, HttpAnswer
-    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.feed.messages import SearcherRow, Subscribe
     from greengagemoor.forward.messages import Outcome, Respond, SearcherAnswer
     from greengagemoor.routing.routes import RouteTable
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -13,7 +13,8 @@
 from greengagemoor.aio.client import HttpAnswer, HttpFailure
 from greengagemoor.aio.links import Links
 from greengagemoor.aio.pool import Pool, Sending
-from greengagemoor.aio.server import HttpServer, Limits
+from greengagemoor.aio.requests import Limits
+from greengagemoor.aio.server import HttpServer
 from greengagemoor.control.messages import Received, Send
 from greengagemoor.errors import DocumentError
 from greengagemoor.feed import messages as feed
@@ -40,7 +41,7 @@
 if TYPE_CHECKING:
     import socket
 
-    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.serving.dialect import Dialect, Reply
     from greengagemoor.serving.settings import ServingSettings
 
@@ -92,13 +93,11 @@
         self._sends: dict[int, Sending] = {}
         self._request_log = RequestLog()
         self._metrics = ServingMetrics(self._gauges)
-        self._servers = [
-            HttpServer(cfg.health_address, Health(self, dialect), Limits())
-        ]
+        health = Health(self, dialect)
+        self._servers = [HttpServer(cfg.health_address, health, Limits())]
         if cfg.metrics_address:
-            self._servers.append(
-                HttpServer(cfg.metrics_address, self._metrics, Limits())
-            )
+            metrics = HttpServer(cfg.metrics_address, self._metrics, Limits())
+            self._servers.append(metrics)
 
     @property
     def ready(self) -> bool:
--- a/greengagemoor/serving/health.py
+++ b/greengagemoor/serving/health.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.serving.dialect import Dialect
     from greengagemoor.serving.entry import EntryApp
 
--- a/greengagemoor/serving/metrics.py
+++ b/greengagemoor/serving/metrics.py
@@ -12,7 +12,7 @@
 
     from hdrh.histogram import HdrHistogram
 
-    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.forward.messages import Respond
 
 MOST_SERIES = 24
--- a/greengagemoor/serving/opencalls.py
+++ b/greengagemoor/serving/opencalls.py
@@ -12,7 +12,7 @@
 from greengagemoor.util.linebudget import LineBudget
 
 if TYPE_CHECKING:
-    from greengagemoor.aio.server import HttpRequest
+    from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.control.client import Done
     from greengagemoor.serving.dialect import Dialect, Reply
 
--- a/soak/searchers.py
+++ b/soak/searchers.py
@@ -11,7 +11,8 @@
 
 from greengagemoor.aio.client import HttpAnswer
 from greengagemoor.aio.pool import Pool
-from greengagemoor.aio.server import HttpServer, Limits
+from greengagemoor.aio.requests import Limits
+from greengagemoor.aio.server import HttpServer
 
 if TYPE_CHECKING:
     import random
--- a/tests/test_aio/test_server.py
+++ b/tests/test_aio/test_server.py
@@ -8,7 +8,8 @@
 import pytest
 
 from greengagemoor.aio import sockets
-from greengagemoor.aio.server import HttpServer, Limits
+from greengagemoor.aio.requests import Limits
+from greengagemoor.aio.server import HttpServer
 from tests.test_aio.helpers import read_head, run
 
 
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -7,7 +7,7 @@
 import pytest
 
 from greengagemoor.aio.client import HttpAnswer
-from greengagemoor.aio.server import HttpRequest
+from greengagemoor.aio.requests import HttpRequest
 from greengagemoor.errors import (
     DocumentError,
     InvalidInputError,
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from greengagemoor.aio.server import HttpRequest
+from greengagemoor.aio.requests import HttpRequest
 from greengagemoor.control.commands import Member
 from greengagemoor.control.decider import ControlDecider
 from greengagemoor.control.joinmessages import JoinReply
