--- a/greengagemoor/control/members.py
+++ b/greengagemoor/control/members.py
@@ -226,9 +226,11 @@
 def tell_changes(state: State) -> None:
     """Tells operators how the list that this member goes by has changed."""
     old, new = state.told_members, state.members
-    if old == new:
+    if old is new:
         return
     state.told_members = new
+    if old == new:
+        return
     voters = len(state.voters)
     state.out.append(
         MembersChanged(
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -66,10 +66,11 @@
             cfg.data_folder,
             cfg.instance,
             self._ticker.put_threadsafe,
-            _others(cfg) if cfg.founds else None,
+            cfg.other_seeds if cfg.founds else None,
         )
         self._decider: ControlDecider | None = None
         self._beliefs = Beliefs()
+        self._followed: dict | None = None
         self._calls = OpenCalls(dialect)
         self._bad_calls = BadCalls()
         self._metrics = ServingMetrics(self._gauges)
@@ -112,7 +113,7 @@
         self._decider = ControlDecider(
             opened.member_id,
             self.cfg.peer_address,
-            _others(self.cfg),
+            self.cfg.other_seeds,
             random.Random(self._rng.getrandbits(64)),
             Timing(
                 heartbeat=HEARTBEAT_S,
@@ -128,7 +129,7 @@
         """Takes in changed settings: new seeds are dialled beside the old."""
         self.cfg = cfg
         self._links.want(set(cfg.seeds))
-        self._ticker.put(SeedsChanged(_others(cfg)))
+        self._ticker.put(SeedsChanged(cfg.other_seeds))
 
     async def stop(self) -> None:
         """Ends after what was handed to the disk is synced."""
@@ -263,6 +264,10 @@
         passed on to its leader, wherever it is.
         """
         state = self._decider.state
+        outside = self._decider.is_outside
+        if state.members is self._followed and not outside:
+            return
+        self._followed = None if outside else state.members
         contacts = self._decider.contacts()
         self._links.want(set(contacts.values()))
         addresses = {m.address for m in state.members.values()}
@@ -291,10 +296,3 @@
         log.event("member_restarts", level="ERROR")
         self._decider = None
         asyncio.get_running_loop().create_task(self._recover())
-
-
-def _others(cfg: ServingSettings) -> dict[str, str]:
-    """Returns the seeds but this one; control instances are named by IP."""
-    named = {seed.partition(":")[0]: seed for seed in cfg.seeds}
-    named.pop(cfg.instance, None)
-    return named
--- a/greengagemoor/serving/settings.py
+++ b/greengagemoor/serving/settings.py
@@ -64,3 +64,10 @@
     def founds(self) -> bool:
         """Whether this process is told to found the control group."""
         return self.new_group and self.peer_address in self.seeds
+
+    @property
+    def other_seeds(self) -> dict[str, str]:
+        """The seeds but this process, by instance: they are named by IP."""
+        named = {seed.partition(":")[0]: seed for seed in self.seeds}
+        named.pop(self.instance, None)
+        return named
