--- a/bench/mutant_list.py
+++ b/bench/mutant_list.py
@@ -27,6 +27,8 @@
 QUERY = "tests/test_query/"
 CONTROL = "tests/test_control/test_apply.py::"
 REPAIR = "tests/test_control/test_repair.py::"
+JOINING = "tests/test_control/test_joining.py"
+FOUNDING = "tests/test_control/test_founding.py"
 MEMBERSHIP = "tests/test_membership/"
 ONCE = "tests/test_at_most_once.py::"
 
@@ -169,17 +171,16 @@
     ),
     Mutant(
         "repair: no second group",
-        "control/members.py",
-        "        and all(state.join_replies.get(name) == "
-        '"" for name in state.peers)\n',
-        "",
+        "control/founding.py",
+        "reply.round != joining.round or reply.group\n",
+        "reply.round != joining.round\n",
         (REPAIR + "TestRepair",),
     ),
     Mutant(
         "repair: votes only when whole",
         "control/members.py",
-        "    return recent and progress.match_index >= state.commit",
-        "    return recent",
+        "progress.answered and progress.match_index >= state.commit",
+        "progress.answered",
         (
             REPAIR + "TestRepair",
             "tests/test_control/test_state_machine.py",
@@ -333,4 +334,102 @@
         "        import os\n\n        os._exit(0)\n",
         ("tests/test_processes.py::TestShutdown",),
     ),
+    Mutant(
+        "joining: passed on to the leader",
+        "control/members.py",
+        "elif leader is not None and not msg.forwarded:",
+        "elif False:",
+        (JOINING,),
+    ),
+    Mutant(
+        "joining: passed on once",
+        "control/members.py",
+        "elif leader is not None and not msg.forwarded:",
+        "elif leader is not None:",
+        (JOINING + "::TestStorm",),
+    ),
+    Mutant(
+        "joining: told who leads",
+        "control/joining.py",
+        "    meet(state, {m.instance: m.address for m in msg.members})\n",
+        "",
+        (JOINING,),
+    ),
+    Mutant(
+        "joining: changed settings arrive",
+        "control/decider.py",
+        "            joining.take_seeds(state, msg)",
+        "            pass",
+        (JOINING,),
+    ),
+    Mutant(
+        "joining: whoever sends what members send is asked",
+        "control/decider.py",
+        "            self.meet({msg.sender: msg.address})",
+        "            pass",
+        (JOINING + "::TestSettingsNameOnlyItself",),
+    ),
+    Mutant(
+        "joining: pauses grow",
+        "control/joining.py",
+        "return state.timing.join * min(2**late, LONGEST_PAUSE)",
+        "return state.timing.join",
+        (JOINING + "::TestStorm",),
+    ),
+    Mutant(
+        "joining: learners that are gone go",
+        "control/members.py",
+        "    if learners:\n",
+        "    if False:\n",
+        (JOINING,),
+    ),
+    Mutant(
+        "joining: no drain that nobody hears",
+        "feed/hub.py",
+        "return self._outside and not self._subscribers.entries()",
+        "return False",
+        ("tests/test_serving/test_control.py",),
+    ),
+    Mutant(
+        "leaving: two silent of an odd number",
+        "control/members.py",
+        "len(voters) < 1 + number % 2",
+        "len(voters) < 1 or number % 2",
+        (REPAIR + "TestReplacedElsewhere",),
+    ),
+    Mutant(
+        "leaving: votes of lost disks",
+        "control/members.py",
+        "many = len(state.voters) > LEAST_VOTERS",
+        "many = False",
+        (REPAIR + "TestReplacedElsewhere",),
+    ),
+    Mutant(
+        "founding: all founders vote",
+        "control/founding.py",
+        "name, state.founders[name], voter=True)",
+        "name, state.founders[name], voter=False)",
+        (FOUNDING,),
+    ),
+    Mutant(
+        "founding: a majority still holds its folders",
+        "control/founding.py",
+        "return len(willing) >= majority and min(willing)",
+        "return min(willing)",
+        (FOUNDING,),
+    ),
+    Mutant(
+        "founding: belongs to a group with its list",
+        "control/replication.py",
+        "    if joins and not state.group:",
+        "    if not state.group:",
+        (FOUNDING,),
+    ),
+    Mutant(
+        "founding: kept with the folder",
+        "serving/durable.py",
+        "if told is not None and folder.is_new:",
+        "if False:",
+        ("tests/test_serving/test_durable.py",),
+    ),
 )
--- a/tests/test_control/test_joining.py
+++ b/tests/test_control/test_joining.py
@@ -86,6 +86,27 @@
     def members(self, fleet):
         return fleet.nodes[fleet.leader()].control.state.members.values()
 
+    def test_a_seed_that_does_not_reach_its_leader(self):
+        """It can't pass a request on; it can say who leads."""
+        fleet = start_group(FIVE)
+        leader = fleet.leader()
+        seed = next(n for n in FIVE if n != leader)
+        add_newcomer(fleet, "c6", [seed])
+        fleet.cut.add((seed, leader))
+        fleet.run_until(lambda: is_voter(fleet, "c6"), most=1.0)
+
+    def test_one_that_is_gone_before_it_votes(self):
+        """Nobody sends to it for ever."""
+        fleet = start_group(FIVE)
+        add_newcomer(fleet, "c6", FIVE)
+        state = fleet.nodes[fleet.leader()].control.state
+        fleet.cut.add(("c6", fleet.leader()))
+        fleet.run(2.0)
+        assert len(state.members) == 6
+        fleet.kill("c6")
+        fleet.run(2 * state.timing.retire)
+        assert len(state.members) == 5
+
     def test_the_leader_changes_while_it_asks(self):
         """Also when the leader goes as soon as it has taken it in."""
         fleet = start_group(FIVE)
--- a/tests/test_control/test_repair.py
+++ b/tests/test_control/test_repair.py
@@ -213,6 +213,45 @@
         fleet.run_until(fleet.leader)
         operator.accept(fleet.leader(), "more", 1, 2)
 
+    def test_two_of_five_are_gone_and_one_more_loss(self):
+        """Symptom: nothing could be read after the third loss of five.
+
+        Cause: a silent voter of an odd number stayed, since taking out one
+        brings nothing; two silent ones stayed for the same reason.
+        """
+        fleet = start_group(self.FIVE)
+        operator = Operator(fleet)
+        operator.accept(fleet.leader(), "kept", 0, 1)
+        for lost in [n for n in self.FIVE if n != fleet.leader()][:2]:
+            fleet.kill(lost)
+            fleet.lose_disk(lost)
+        fleet.run(15.0)
+        fleet.kill(fleet.leader())
+        fleet.run_until(fleet.leader, most=5.0)
+        operator.accept(fleet.leader(), "more", 1, 2)
+
+    def test_votes_of_lost_disks_go_before_the_new_ones_are_whole(
+        self, monkeypatch
+    ):
+        """Two of five lost their disks, and the state takes long to come."""
+        monkeypatch.setattr(replication, "SNAPSHOT_EVERY", 10)
+        monkeypatch.setattr(replication, "KEPT_BEHIND_SNAPSHOT", 2)
+        fleet = start_group(self.FIVE)
+        operator = Operator(fleet)
+        for number in range(25):
+            operator.accept("c2", f"a{number}", number, number)
+        leader = fleet.leader()
+        fleet.loses = lambda msg: isinstance(msg.payload, InstallSnapshot)
+        for lost in [n for n in self.FIVE if n != leader][:2]:
+            fleet.kill(lost)
+            fleet.lose_disk(lost)
+            fleet.start(lost)
+        fleet.run(3.0)
+        status = fleet.nodes[leader].control.status()
+        assert (status.spare, status.gauges()["voters"]) == (1, 3)
+        fleet.loses = None
+        fleet.run_until(lambda: is_whole(fleet, self.FIVE))
+
     def test_silent_voter_of_an_odd_group_stays(self):
         fleet = start_group(self.FIVE)
         fleet.cut_off(next(n for n in self.FIVE if n != fleet.leader()))
