The soak's calls end when they are cancelled

Cause: asyncio.wait_for of this Python returns a result that comes together with a cancellation, and drops the cancellation. asyncio.timeout doesn't.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 from greengagemoor.aio.client import HttpAnswer
 from greengagemoor.aio.pool import Pool
 from greengagemoor.forward.mergers import merge_greatest
-from soak.searchers import call, records
+from soak.searchers import call, records, within
 from soak.world import PORTS
 
 if TYPE_CHECKING:
@@ -138,11 +138,9 @@
                 fut.set_result(end)
 
         sending = self._pool.send(address, data, done, lambda _: True)
-        try:
-            end = await asyncio.wait_for(fut, PATIENCE_MS / 1000)
-        except TimeoutError:
+        end = await within(PATIENCE_MS / 1000, fut)
+        if end is None:
             sending.cancel()
-            end = None
         status = end.status if isinstance(end, HttpAnswer) else 0
         self.endings[status] += 1
         self._check(prefix, request_id, end, status)
--- a/soak/searchers.py
+++ b/soak/searchers.py
@@ -29,6 +29,19 @@
     )
 
 
+async def within(seconds: float, fut: asyncio.Future) -> object | None:
+    """Returns a result, or None if it does not come in time.
+
+    ``asyncio.wait_for`` keeps a cancellation that comes together with the
+    result to itself; whoever asks in a loop would then go on for ever.
+    """
+    try:
+        async with asyncio.timeout(seconds):
+            return await fut
+    except TimeoutError:
+        return None
+
+
 async def call(
     pool: Pool, address: str, method: str, path: str, body: bytes = b""
 ) -> HttpAnswer | None:
@@ -44,11 +57,9 @@
             fut.set_result(end)
 
     sending = pool.send(address, head.encode() + body, done, lambda _: True)
-    try:
-        end = await asyncio.wait_for(fut, 1.0)
-    except TimeoutError:
+    end = await within(1.0, fut)
+    if end is None:
         sending.cancel()
-        return None
     return end if isinstance(end, HttpAnswer) else None
 
 
