Tests that fail: a leader's own dead vote, dials that never end

Three fail on this commit: the leader's old vote stays until it is silent, a gone address is dialled on, an entry's list of control instances only grows.

--- a/tests/test_aio/test_links.py
+++ b/tests/test_aio/test_links.py
@@ -180,6 +180,62 @@
         run(main())
 
 
+class TestUnwanted:
+    """Addresses of machines that are gone for good.
+
+    Control instances that were replaced were dialled about once a second by
+    each process that had known them, until that process ended: with 200
+    processes and a few replacements a day that only grows. What was wanted
+    once stayed wanted, as each list was added to those before.
+    """
+
+    def test_gone_address_is_dialled_no_more(self, monkeypatch):
+        dialled = []
+
+        async def main():
+            client = Links("two", "", Inbox().put)
+            loop = asyncio.get_running_loop()
+
+            async def refuse(_, host, port):
+                dialled.append(port)
+                raise ConnectionRefusedError
+
+            monkeypatch.setattr(loop, "create_connection", refuse)
+            client.want({"127.0.0.1:1"})
+            await asyncio.sleep(0.05)
+            client.want({"127.0.0.1:2"})
+            del dialled[:]
+            await asyncio.sleep(0.1)
+
+        run(main())
+        assert set(dialled) == {2}
+
+    def test_link_that_stands_is_kept(self):
+        """What a list names no more may still be in the middle of a word."""
+
+        async def main():
+            server, one, client, two = await pair()
+            client.want(set())
+            await asyncio.sleep(0.01)
+            client.send(Send("one", DocumentNumber(1)))
+            return await one.get(Received)
+
+        assert run(main()).payload == DocumentNumber(1)
+
+    def test_wanted_again_after_it_was_not(self):
+        async def main():
+            server, one, client, two = await pair()
+            address = next(iter(client.open)).dialled
+            client.want(set())
+            client.want({address})
+            for link in list(client.open):
+                link.close()
+            await two.get(LinkDown)
+            await two.get(LinkUp)
+
+        run(main())
+
+
 class TestDialPace:
     """Dials to a machine that is dark, then listens."""
 
--- a/tests/test_control/test_repair.py
+++ b/tests/test_control/test_repair.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from greengagemoor.codes import Code
-from greengagemoor.control import replication
+from greengagemoor.control import election, replication
+from greengagemoor.control.commands import ChangeMembers, Member
 from greengagemoor.control.messages import AppendRequest, InstallSnapshot
+from greengagemoor.control.state import Progress
 from tests.test_control.helpers import (
     Operator,
     is_whole,
@@ -297,3 +299,31 @@
         fleet.run(60.0)
         fleet.heal()
         fleet.run_until(lambda: is_whole(fleet, four))
+
+
+class TestLeaderWithoutItsOldDisk:
+    """A leader that lost its disk before knows that its old vote is dead.
+
+    The list held the votes of both identities of the leader's instance until
+    the old one had been silent for the time to catch up, ten seconds. All that
+    while five votes stood where four could be given, so a group that had lost
+    one disk bore one loss less than it said. The leader waited for an answer
+    of its newer identity, as it does of others; it never answers itself.
+    """
+
+    FIVE = ("c1", "c2", "c3", "c4", "c5")
+
+    def test_its_old_vote_goes_at_once(self):
+        fleet = start_group(self.FIVE)
+        leader = fleet.leader()
+        state = fleet.nodes[leader].control.state
+        old = Member(f"{leader}#before", leader, state.address, voter=True)
+        members = (old, *state.members.values())
+        election.append(state, ChangeMembers(members, time=state.now))
+        state.set_members("test")
+        state.progress[old.member_id] = Progress(
+            next_index=state.log.last_index, last_ack=state.now
+        )
+        fleet.run(3 * state.timing.heartbeat)
+        assert fleet.leader() == leader
+        assert old.member_id not in state.members
--- a/tests/test_feed/test_hub_and_view.py
+++ b/tests/test_feed/test_hub_and_view.py
@@ -366,6 +366,52 @@
         assert bench.view.number == 5
 
 
+class TestPeers:
+    """Which control instances an entry keeps links to.
+
+    The list only grew, so machines that had been replaced stayed in it.
+    """
+
+    def told(self, bench, name, *addresses):
+        return bench.step(Received(name, m.KnownPeers(addresses, 1)))
+
+    def test_replaced_instance_leaves_the_list(self):
+        bench = ViewBench()
+        bench.step(m.LinkUp("c1"))
+        self.told(bench, "c1", "a:1", "b:1")
+        self.told(bench, "c1", "a:1", "c:1")
+        assert bench.view.peers == ("a:1", "c:1")
+
+    def test_what_any_linked_instance_names_stays(self):
+        """One of them may be cut off, and know an older list."""
+        bench = ViewBench()
+        bench.step(m.LinkUp("c1"), m.LinkUp("c2"))
+        self.told(bench, "c1", "a:1", "b:1")
+        self.told(bench, "c2", "a:1", "c:1")
+        assert bench.view.peers == ("a:1", "b:1", "c:1")
+
+    def test_without_links_the_list_stays(self):
+        """After a loss of power of all of them they are found again."""
+        bench = ViewBench()
+        bench.step(m.LinkUp("c1"), m.LinkUp("c2"))
+        self.told(bench, "c1", "a:1")
+        self.told(bench, "c2", "b:1")
+        bench.step(m.LinkDown("c1"))
+        bench.step(m.LinkDown("c2"))
+        assert bench.view.peers == ("a:1", "b:1")
+        bench.step(m.LinkUp("c1"))
+        assert bench.view.peers == ("a:1", "b:1")
+
+    def test_instance_outside_any_group_names_nobody(self):
+        """It knows no list yet; the others' lists hold."""
+        bench = ViewBench()
+        bench.step(m.LinkUp("c1"), m.LinkUp("c9"))
+        self.told(bench, "c1", "a:1", "b:1")
+        self.told(bench, "c9")
+        bench.step(m.LinkDown("c1"))
+        assert bench.view.peers == ("a:1", "b:1")
+
+
 class TestReady:
     """Ready means: confirmed by a quorum, and the searchers known.
 
