A leader's own dead vote goes at once; who is gone is dialled no more

Cause: the leader waited for an answer of its own newer identity, which never comes; each list of addresses was added to those before it.

--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -7,10 +7,9 @@
 import zlib
 from typing import TYPE_CHECKING
 
-import attrs
-
 from greengagemoor import log
 from greengagemoor.aio import sockets
+from greengagemoor.aio.dialpace import DialPace
 from greengagemoor.control.messages import Received, Send
 from greengagemoor.errors import WireError
 from greengagemoor.feed.messages import LinkDown, LinkUp
@@ -40,35 +39,6 @@
 """How often a dialled link is looked at, to dial it again once it is gone."""
 
 
-@attrs.define(eq=False, repr=False)
-class DialPace:
-    """How long a dial may take, and how long to wait after one that failed.
-
-    After a loss of power machines come back some ten milliseconds apart. One
-    that is still dark drops the packet that opens a connection, and it is sent
-    again after a second only: an entry had its first link a second after its
-    start. Short dials at first find the other side as soon as it listens;
-    ever longer ones leave a machine that stays dark alone.
-
-    Attributes:
-        connect_s: longest wait for the connection; at first some ten round
-            trips between data centres.
-        wait_s: pause after a failure.
-        growth: of both, with each failure; nine dials in the first second.
-        longest_s: bound of both; a dark machine costs a packet each 1.6 s.
-    """
-
-    connect_s: float = 0.05
-    wait_s: float = 0.02
-    growth: float = 1.15
-    longest_s: float = 0.8
-
-    def note_failure(self) -> None:
-        """Makes the next dial and the pause after it longer."""
-        self.connect_s = min(self.growth * self.connect_s, self.longest_s)
-        self.wait_s = min(self.growth * self.wait_s, self.longest_s)
-
-
 class Link(asyncio.Protocol):
     """One connection to another process; both sides send."""
 
@@ -216,14 +186,25 @@
         self._loop.call_later(KEEP_ALIVE_S / 2, self._look_after)
 
     def want(self, addresses: set[str]) -> None:
-        """Keeps a link to each address, beside those wanted before."""
-        for address in addresses - set(self._wanted) - {self.address}:
+        """Keeps a link to each address, and dials no other any more.
+
+        A link that stands is left alone, wanted or not.
+        """
+        for address in set(self._wanted) - addresses:
+            self._wanted.pop(address).cancel()
+        for address in addresses - {self.address}:
+            self._dial(address)
+
+    def _dial(self, address: str) -> None:
+        if address not in self._wanted:
             task = self._loop.create_task(self._keep_dialled(address))
             self._wanted[address] = task
 
     async def _keep_dialled(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         pace = DialPace()
+        while any(link.dialled == address for link in self.open):
+            await asyncio.sleep(LOOK_S)
         while True:
             try:
                 async with asyncio.timeout(pace.connect_s):
@@ -277,7 +258,7 @@
         else:
             queue.append(msg.payload)
         if msg.address and msg.to not in self._by_name:
-            self.want({msg.address})
+            self._dial(msg.address)
 
     def _flush(self, name: str) -> None:
         payloads = self._outbox.pop(name)
--- a/greengagemoor/control/members.py
+++ b/greengagemoor/control/members.py
@@ -167,19 +167,24 @@
     newer: dict[str, Member] = {}
     for member in reversed(members):
         latest = newer.setdefault(member.instance, member)
-        progress = state.progress.get(latest.member_id)
         if (
             latest is not member
             and member.voter
-            and member.member_id != state.member_id
             and (latest.voter or many)
-            and progress is not None
-            and progress.answered
+            and _has_answered(state, latest)
         ):
             return _without(state, [member], "disk_lost")
     return None
 
 
+def _has_answered(state: State, member: Member) -> bool:
+    """Whether a member has shown that it runs; the leader itself does."""
+    if member.member_id == state.member_id:
+        return True
+    progress = state.progress.get(member.member_id)
+    return progress is not None and progress.answered
+
+
 def _drop_silent(state: State) -> _Change | None:
     """Takes out members that were silent for long.
 
--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -36,6 +36,7 @@
 class _Source:
     whole: bool = False
     document: int = 0
+    peers: tuple[str, ...] = ()
 
 
 @attrs.define(eq=False, repr=False)
@@ -144,11 +145,23 @@
         elif isinstance(payload, m.SlowSearchers):
             self._out.append(payload)
         elif isinstance(payload, m.KnownPeers):
-            self.peers = tuple(sorted({*self.peers, *payload.addresses}))
+            source.peers = payload.addresses
+            self._take_peers()
             self.entries = max(self.entries, payload.entries)
         elif isinstance(payload, OpReply):
             self._take_read(payload)
 
+    def _take_peers(self) -> None:
+        """Keeps those whom any linked control instance names.
+
+        One that is cut off may know an older list, so no list alone counts.
+        Where a link goes down the list stays: after a loss of power of all
+        control instances they are dialled where they were.
+        """
+        lists = [source.peers for source in self._sources.values()]
+        named = sorted({address for peers in lists for address in peers})
+        self.peers = tuple(named) or self.peers
+
     def _merge(self, row: m.SearcherRow) -> None:
         known = self._rows.get(row.searcher_id)
         if known is not None:
--- a/greengagemoor/serving/beliefs.py
+++ b/greengagemoor/serving/beliefs.py
@@ -1,4 +1,4 @@
-"""What a control instance believes of its group, for logs and metrics."""
+"""What a process believes of others, for logs and metrics."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from greengagemoor.control.decider import ControlDecider
+    from greengagemoor.feed.messages import SearcherRow
 
 
 class Beliefs:
@@ -40,3 +41,16 @@
             "term": self._role[1],
             "document_version": self._number,
         }
+
+
+def tell_searcher(row: SearcherRow) -> None:
+    """Tells what an entry believes of a searcher from now on."""
+    log.event(
+        "searcher",
+        id=row.searcher_id,
+        service=row.service,
+        address=row.address,
+        state=row.state.value,
+        sequence=row.sequence,
+        start=row.start,
+    )
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -71,6 +71,7 @@
         self._decider: ControlDecider | None = None
         self._beliefs = Beliefs()
         self._followed: dict | None = None
+        self._contacts: dict[str, str] = {}
         self._calls = OpenCalls(dialect)
         self._bad_calls = BadCalls()
         self._metrics = ServingMetrics(self._gauges)
@@ -126,9 +127,9 @@
         self._ticker.put(opened.recovered)
 
     def reload(self, cfg: ServingSettings) -> None:
-        """Takes in changed settings: new seeds are dialled beside the old."""
+        """Takes in changed settings, and dials the seeds that they name."""
         self.cfg = cfg
-        self._links.want(set(cfg.seeds))
+        self._links.want({*cfg.seeds, *self._contacts.values()})
         self._ticker.put(SeedsChanged(cfg.other_seeds))
 
     async def stop(self) -> None:
@@ -268,11 +269,11 @@
         if state.members is self._followed and not outside:
             return
         self._followed = None if outside else state.members
-        contacts = self._decider.contacts()
-        self._links.want(set(contacts.values()))
+        self._contacts = self._decider.contacts()
+        self._links.want({*self.cfg.seeds, *self._contacts.values()})
         addresses = {m.address for m in state.members.values()}
         names = {m.instance for m in state.members.values()}
-        self._client.targets = sorted(names.union(contacts))
+        self._client.targets = sorted(names.union(self._contacts))
         self._hub.set_peers(tuple(sorted(addresses)), frozenset(names))
         self._hub.set_outside(not state.group)
 
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -32,6 +32,7 @@
 )
 from greengagemoor.forward.tables import Policy
 from greengagemoor.routing import routes
+from greengagemoor.serving import beliefs
 from greengagemoor.serving.health import Health
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.requestlog import RequestLog
@@ -107,7 +108,7 @@
     async def start(self) -> None:
         """Listens, and asks the seeds for everything else."""
         await self._links.start()
-        self._links.want(set(self.cfg.seeds))
+        self._want_links()
         for server in self._servers:
             await server.start()
         await self._callers.start(self._listener)
@@ -115,9 +116,12 @@
         asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
     def reload(self, cfg: ServingSettings) -> None:
-        """Takes in changed settings: new seeds are dialled beside the old."""
+        """Takes in changed settings, and dials the seeds that they name."""
         self.cfg = cfg
-        self._links.want(set(cfg.seeds))
+        self._want_links()
+
+    def _want_links(self) -> None:
+        self._links.want({*self.cfg.seeds, *self._view.peers})
 
     async def stop(self) -> None:
         """Leaves without cutting a request.
@@ -180,7 +184,7 @@
         if feed_msgs or now >= self._view.next_wake() or self._view.leaving:
             for msg in self._view.step(now, feed_msgs):
                 self._act_on_view(msg, forward_msgs)
-            self._links.want(set(self._view.peers))
+            self._want_links()
             self._forward.set_entries(self._view.entries)
         for msg in self._forward.step(now, forward_msgs):
             self._act(msg)
@@ -192,15 +196,7 @@
         if isinstance(msg, Send):
             self._links.send(msg)
         elif isinstance(msg, feed.SearcherLearnt):
-            log.event(
-                "searcher",
-                id=msg.row.searcher_id,
-                service=msg.row.service,
-                address=msg.row.address,
-                state=msg.row.state.value,
-                sequence=msg.row.sequence,
-                start=msg.row.start,
-            )
+            beliefs.tell_searcher(msg.row)
             forward_msgs.append(msg)
         elif isinstance(msg, feed.SlowSearchers):
             ids = ",".join(key.searcher_id for key in msg.searchers)
--- a/tests/test_aio/test_links.py
+++ b/tests/test_aio/test_links.py
@@ -11,7 +11,8 @@
 import pytest
 
 from greengagemoor.aio import links as links_module
-from greengagemoor.aio.links import DialPace, Links
+from greengagemoor.aio.dialpace import DialPace
+from greengagemoor.aio.links import Links
 from greengagemoor.control.messages import Received, Send
 from greengagemoor.feed.messages import (
     DocumentNumber,
