--- a/greengagemoor/forward/leaving.py
+++ b/greengagemoor/forward/leaving.py
@@ -8,8 +8,9 @@
 
 KEPT = 16
 """Answers remembered; one gather in three seconds comes to an entry of many."""
-PRIOR_S = 0.004
-"""Until one has left: a merge of some sixty parts and a write."""
+PRIOR_S = 0.015
+"""At least, until so many have left. An entry of many sees a dozen gathers in a
+minute, and a guess that is too long costs less than one that is too short."""
 LONGEST_S = 0.06
 """What took longer was a freeze or the like, which the next answer won't meet;
 kept, it would make a minute of answers leave parts out."""
@@ -36,5 +37,7 @@
 
     def margin_s(self, objective_s: float) -> float:
         """Returns how long before its time an answer should be given."""
-        longest = max(self._recent, default=PRIOR_S)
+        longest = max(self._recent, default=0.0)
+        if len(self._recent) < KEPT:
+            longest = max(longest, PRIOR_S)
         return min(longest, MOST_OF_OBJECTIVE * objective_s)
