After a loss of power entries know how many they were

Cause: each control instance counted entries from none after a restart, and an entry that is told of one takes the second sends and connections of a tenth of all. Ruled out: that the least number of sharers, ten, bounds it at this size; that the rising slack of the first window does (it starts at 0.3 of the same part). The count is kept beside the kept rows, and fades after ten minutes as it did. Up to a sixth more entries may join while others are cut off; beyond that the sum passes the allowance. Connections are not bounded that way yet where a searcher's cap is below the number of entries.

Legs of a request are counted, not looked over at each answer.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -89,7 +89,7 @@
 @mechanisms.register("waiting-for-a-place")
 def _waiting() -> Off:
     def give_up(_, leg) -> None:
-        leg.dead = True
+        leg.give_up()
 
     return {}, [(sending, "wait_for_place", give_up)]
 
--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -12,21 +12,11 @@
 from greengagemoor.feed.rows import OtherRows
 from greengagemoor.feed.slowness import SlowTable
 from greengagemoor.feed.subscribers import Subscribers
-from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-
-@values.frozen
-class Timing:
-    """Intervals in seconds.
-
-    Attributes:
-        announce: how often searchers announce themselves.
-    """
-
-    announce: float
+    from greengagemoor.feed.timing import Timing
 
 
 class Hub:
@@ -120,6 +110,15 @@
         kept = tuple(r for r in self._heard.rows() if r.state is not gone)
         return m.SearcherRows(self._number, True, kept)
 
+    @property
+    def entries_seen(self) -> int:
+        """How many entries share what searchers and rules allow."""
+        return self._subscribers.entries_seen
+
+    def begin_with_entries(self, now: float, number: int) -> None:
+        """Takes in how many entries there were before a restart."""
+        self._subscribers.begin_with(now, number)
+
     def kept_others(self) -> m.SearcherRows:
         """Returns what a restart should know of other instances' words."""
         return m.SearcherRows(self._number, True, self._others.rows())
--- a/greengagemoor/feed/subscribers.py
+++ b/greengagemoor/feed/subscribers.py
@@ -43,6 +43,8 @@
     def __init__(self):
         self._rows: dict[str, _Subscriber] = {}
         self._entries_seen: dict[str, float] = {}
+        self._kept_entries = 0
+        self._kept_until = float("-inf")
         self._waiting: deque[_Waiting] = deque()
         self._turn = 0
 
@@ -65,6 +67,15 @@
             self._entries_seen[name] = now
         return True
 
+    def begin_with(self, now: float, entries: int) -> None:
+        """Takes in how many entries there were before a restart.
+
+        After a loss of power the first entry to come back would be told that
+        it is alone, and take all that searchers and rules allow to all.
+        """
+        self._kept_entries = entries
+        self._kept_until = now + ENTRY_SEEN_S
+
     def drop(self, name: str) -> None:
         """Forgets a process whose link is gone."""
         self._rows.pop(name, None)
@@ -110,6 +121,8 @@
             for name, seen in self._entries_seen.items()
             if seen > now - ENTRY_SEEN_S
         }
+        if now >= self._kept_until:
+            self._kept_entries = 0
 
     @property
     def next_release(self) -> float | None:
@@ -124,7 +137,7 @@
     @property
     def entries_seen(self) -> int:
         """How many entries were heard lately, gone ones included."""
-        return len(self._entries_seen)
+        return max(len(self._entries_seen), self._kept_entries)
 
     def entries(self) -> list[Subscribe]:
         """Returns the entries that are linked."""
--- /dev/null
+++ b/greengagemoor/feed/timing.py
@@ -0,0 +1,16 @@
+"""Intervals of the feed."""
+
+from __future__ import annotations
+
+from greengagemoor.util import values
+
+
+@values.frozen
+class Timing:
+    """Intervals in seconds.
+
+    Attributes:
+        announce: how often searchers announce themselves.
+    """
+
+    announce: float
--- a/greengagemoor/forward/completion.py
+++ b/greengagemoor/forward/completion.py
@@ -58,12 +58,10 @@
 
 
 def _look_gather(tables: Tables, request: Request) -> None:
-    answered = sum(leg.answer is not None for leg in request.legs)
-    is_open = any(leg.is_open for leg in request.legs)
-    if not is_open or (
-        tables.now >= request.give_at and is_enough(request, answered)
+    if not request.is_open or (
+        tables.now >= request.give_at and is_enough(request, request.answered)
     ):
-        _finish_gather(tables, request, answered)
+        _finish_gather(tables, request)
     elif _hopeless(request):
         finish(tables, request, Ending.BELOW_COVERAGE)
 
@@ -75,16 +73,16 @@
 
 
 def _hopeless(request: Request) -> bool:
-    possible = sum(not leg.dead for leg in request.legs)
+    possible = len(request.legs) - request.given_up
     return not is_enough(request, possible)
 
 
-def _finish_gather(tables: Tables, request: Request, answered: int) -> None:
-    if not is_enough(request, answered):
+def _finish_gather(tables: Tables, request: Request) -> None:
+    if not is_enough(request, request.answered):
         ran = any(leg.runs > 0 or leg.broken for leg in request.legs)
         ending = Ending.BELOW_COVERAGE if ran else Ending.NOT_RUN_REFUSED
         finish(tables, request, ending)
-    elif answered == len(request.legs):
+    elif request.answered == len(request.legs):
         finish(tables, request, Ending.ANSWERED)
     else:
         finish(tables, request, Ending.PARTIAL)
@@ -179,5 +177,5 @@
     if leg.answer is None and not sending.repeat(
         tables, leg, outcome, stale=stale
     ):
-        leg.dead = True
+        leg.give_up()
     look(tables, leg.request)
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -158,7 +158,7 @@
             if choosing.has_usable(tables, leg.service):
                 sending.wait_for_place(tables, leg)
             else:
-                leg.dead = True
+                leg.give_up()
         self._arm(request)
         completion.look(tables, request)
 
@@ -235,9 +235,8 @@
     def _end(self, request: Request) -> None:
         if request.done:
             return
-        answered = sum(leg.answer is not None for leg in request.legs)
-        gather = request.route.gather
-        if gather is not None and completion.is_enough(request, answered):
+        is_gather = request.route.gather is not None
+        if is_gather and completion.is_enough(request, request.answered):
             completion.finish(self.tables, request, Ending.PARTIAL)
         elif request.sends:
             completion.finish(self.tables, request, Ending.NO_ANSWER)
--- a/greengagemoor/forward/ended.py
+++ b/greengagemoor/forward/ended.py
@@ -67,9 +67,7 @@
     if not is_good(answer):
         leg.failure = answer
     elif leg.answer is None:
-        leg.answer = answer
-        leg.answered_by = attempt.searcher.searcher_id
-        leg.answered_at = tables.now
+        leg.take(answer, attempt.searcher.searcher_id, tables.now)
 
 
 def is_good(answer: SearcherAnswer) -> bool:
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -133,6 +133,18 @@
         """Whether an answer may still come."""
         return self.answer is None and not self.dead
 
+    def take(self, answer: SearcherAnswer, searcher_id: str, at: float) -> None:
+        """Takes the answer that counts."""
+        self.answer = answer
+        self.answered_by = searcher_id
+        self.answered_at = at
+        self.request.answered += 1
+
+    def give_up(self) -> None:
+        """Leaves it without an answer."""
+        self.dead = True
+        self.request.given_up += 1
+
 
 @attrs.define(eq=False, repr=False)
 class Request:
@@ -141,6 +153,8 @@
     Attributes:
         give_at: from then on an answer with enough shards is given at once.
         ends_at: the last moment for an answer.
+        answered, given_up: how many legs are; counted, as with sixty shards
+            each of sixty answers would look at all of them again.
     """
 
     token: int
@@ -152,6 +166,13 @@
     legs: list[Leg] = attrs.field(factory=list)
     steps: list[Step] = attrs.field(factory=list)
     done: bool = False
+    answered: int = 0
+    given_up: int = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether any leg may still get an answer."""
+        return self.answered + self.given_up < len(self.legs)
 
     @property
     def sends(self) -> int:
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -21,12 +21,13 @@
 from greengagemoor.errors import DocumentError, InvalidInputError
 from greengagemoor.feed import messages as feed
 from greengagemoor.feed.hub import Hub
-from greengagemoor.feed.hub import Timing as HubTiming
+from greengagemoor.feed.timing import Timing as HubTiming
 from greengagemoor.routing import routes
 from greengagemoor.serving import dialect as calls
 from greengagemoor.serving import inboxes, opencalls
 from greengagemoor.serving.beliefs import Beliefs
-from greengagemoor.serving.durable import OTHER_ROWS, OWN_ROWS, Durable
+from greengagemoor.serving.durable import Durable
+from greengagemoor.serving.keeping import Keeper
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.opencalls import BadCalls, OpenCalls
 from greengagemoor.serving.ticker import Ticker
@@ -41,8 +42,6 @@
 
 ASK_S = 0.9
 """Operators turn to another instance after a second."""
-KEEP_ROWS_S = 1.0
-"""A few KB and a sync at most this often, and only after a change."""
 HEARTBEAT_S = 0.15
 ELECTION_S = 0.6
 """Four heartbeats; a dead leader is replaced within two seconds."""
@@ -68,6 +67,7 @@
             self._ticker.put_threadsafe,
             cfg.other_seeds if cfg.founds else None,
         )
+        self._keeper = Keeper(self._hub, self._durable)
         self._decider: ControlDecider | None = None
         self._beliefs = Beliefs()
         self._followed: dict | None = None
@@ -91,26 +91,13 @@
         for server in self._servers:
             await server.start()
         await self._recover()
-        self._keeping = asyncio.create_task(self._keep_rows())
-
-    async def _keep_rows(self) -> None:
-        hub = self._hub
-        own, others = hub.number, hub.others_number
-        while True:
-            await asyncio.sleep(KEEP_ROWS_S)
-            if hub.number != own:
-                own = hub.number
-                await self._durable.keep_rows(OWN_ROWS, hub.kept_rows())
-            if hub.others_number != others:
-                others = hub.others_number
-                await self._durable.keep_rows(OTHER_ROWS, hub.kept_others())
+        self._keeping = asyncio.create_task(self._keeper.run())
 
     async def _recover(self) -> None:
         """Opens the data folder and starts the member that it belongs to."""
         opened = await self._durable.open()
         now = self.clock.now()
-        self._hub.begin_with(now, self._durable.kept_rows(OWN_ROWS))
-        self._hub.begin_with_others(now, self._durable.kept_rows(OTHER_ROWS))
+        self._keeper.restore(now)
         self._decider = ControlDecider(
             opened.member_id,
             self.cfg.peer_address,
--- a/greengagemoor/serving/durable.py
+++ b/greengagemoor/serving/durable.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from greengagemoor import log
 from greengagemoor.errors import (
@@ -13,7 +13,7 @@
     FolderMismatchError,
     WireError,
 )
-from greengagemoor.feed.messages import SearcherRows
+from greengagemoor.feed.messages import KnownPeers, SearcherRows
 from greengagemoor.shell.disk import DiskWriter
 from greengagemoor.storage.folder import DataFolder
 from greengagemoor.storage.store import Store
@@ -29,7 +29,9 @@
 OPEN_AGAIN_S = 0.5
 OWN_ROWS = "searchers.bin"
 OTHER_ROWS = "searchers-of-others.bin"
+ENTRIES = "entries.bin"
 FOUNDERS = "FOUNDERS.json"
+_Kept = TypeVar("_Kept", SearcherRows, KnownPeers)
 
 
 @values.frozen
@@ -133,11 +135,11 @@
         if self._writer is not None:
             self._writer.write(operation)
 
-    async def keep_rows(self, name: str, rows: SearcherRows) -> None:
-        """Replaces kept rows of searchers; a failure costs only them."""
+    async def keep(self, name: str, kept: SearcherRows | KnownPeers) -> None:
+        """Replaces what is kept for a restart; a failure costs only that."""
         if self._folder is None:
             return
-        data = codec.encode(rows)
+        data = codec.encode(kept)
         loop = asyncio.get_running_loop()
         try:
             await loop.run_in_executor(
@@ -148,14 +150,23 @@
 
     def kept_rows(self, name: str) -> tuple[SearcherRow, ...]:
         """Returns the rows of searchers that were kept, if they are whole."""
+        kept = self._read_kept(name, SearcherRows)
+        return kept.rows if kept is not None else ()
+
+    def kept_entries(self) -> int:
+        """Returns how many entries there were; 0 if that isn't known."""
+        kept = self._read_kept(ENTRIES, KnownPeers)
+        return kept.entries if kept is not None else 0
+
+    def _read_kept(self, name: str, cls: type[_Kept]) -> _Kept | None:
         path = self._path / name
         try:
-            return codec.decode(path.read_bytes(), SearcherRows).rows
+            return codec.decode(path.read_bytes(), cls)
         except FileNotFoundError:
-            return ()
+            return None
         except (OSError, WireError) as exc:
             log.event("rows_unreadable", level="WARNING", reason=exc)
-            return ()
+            return None
 
     async def close(self) -> None:
         """Ends once all that was handed over is synced."""
--- /dev/null
+++ b/greengagemoor/serving/keeping.py
@@ -0,0 +1,47 @@
+"""What a control instance knows of others, kept over a restart."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from greengagemoor.feed.messages import KnownPeers
+from greengagemoor.serving.durable import ENTRIES, OTHER_ROWS, OWN_ROWS
+
+if TYPE_CHECKING:
+    from greengagemoor.feed.hub import Hub
+    from greengagemoor.serving.durable import Durable
+
+KEEP_S = 1.0
+"""A few KB and a sync at most this often, and only after a change."""
+
+
+class Keeper:
+    """Writes a hub's knowledge to the data folder, and reads it at a start."""
+
+    def __init__(self, hub: Hub, durable: Durable):
+        self._hub = hub
+        self._durable = durable
+
+    def restore(self, now: float) -> None:
+        """Gives the hub what was kept before the restart."""
+        hub, durable = self._hub, self._durable
+        hub.begin_with(now, durable.kept_rows(OWN_ROWS))
+        hub.begin_with_others(now, durable.kept_rows(OTHER_ROWS))
+        hub.begin_with_entries(now, durable.kept_entries())
+
+    async def run(self) -> None:
+        """Keeps each change, until it is cancelled."""
+        hub, durable = self._hub, self._durable
+        own, others, entries = hub.number, hub.others_number, 0
+        while True:
+            await asyncio.sleep(KEEP_S)
+            if hub.number != own:
+                own = hub.number
+                await durable.keep(OWN_ROWS, hub.kept_rows())
+            if hub.others_number != others:
+                others = hub.others_number
+                await durable.keep(OTHER_ROWS, hub.kept_others())
+            if hub.entries_seen != entries:
+                entries = hub.entries_seen
+                await durable.keep(ENTRIES, KnownPeers((), entries))
--- a/tests/test_feed/test_hub_and_view.py
+++ b/tests/test_feed/test_hub_and_view.py
@@ -16,9 +16,10 @@
     Send,
 )
 from greengagemoor.feed import messages as m
-from greengagemoor.feed.hub import Hub, Timing
+from greengagemoor.feed.hub import Hub
 from greengagemoor.feed.messages import SearcherState
 from greengagemoor.feed.subscribers import HOLD_S
+from greengagemoor.feed.timing import Timing
 from greengagemoor.feed.view import View
 
 ANNOUNCE_S = 1.0
--- a/tests/test_serving/test_durable.py
+++ b/tests/test_serving/test_durable.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from greengagemoor.serving.durable import Durable
+from greengagemoor.feed.messages import KnownPeers
+from greengagemoor.serving.durable import ENTRIES, Durable
 
 FOUNDERS = {"127.0.0.2": "127.0.0.2:7740", "127.0.0.3": "127.0.0.3:7740"}
 
@@ -51,3 +52,31 @@
 
         opened = open_folder(tmp_path / "d", FOUNDERS, damage)
         assert opened.founders is None
+
+
+class TestEntries:
+    """How many entries there were is known again after a restart."""
+
+    def test_kept_over_a_restart(self, tmp_path):
+        async def run():
+            first = Durable(str(tmp_path / "d"), "127.0.0.1", lambda _: None)
+            await first.open()
+            before = first.kept_entries()
+            await first.keep(ENTRIES, KnownPeers((), 191))
+            await first.close()
+            second = Durable(str(tmp_path / "d"), "127.0.0.1", lambda _: None)
+            await second.open()
+            await second.close()
+            return before, second.kept_entries()
+
+        assert asyncio.run(run()) == (0, 191)
+
+    def test_damaged_is_not_known(self, tmp_path):
+        async def run():
+            one = Durable(str(tmp_path / "d"), "127.0.0.1", lambda _: None)
+            await one.open()
+            (tmp_path / "d" / ENTRIES).write_bytes(b"\xff\xff")
+            await one.close()
+            return one.kept_entries()
+
+        assert asyncio.run(run()) == 0
