Rows that several control instances tell alike are built once

Cause: a starting entry gets all rows from each of nine control instances and built every one anew. Before: nine tables of 320 rows 31.6, 33.1, 33.3 ms of processor time beside load; after: 7.1, 7.9, 10.6. Ruled out: asking fewer instances (one that is cut off knows an older table; an entry waits for all for a reason).

--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -164,6 +164,8 @@
 
     def _merge(self, row: m.SearcherRow) -> None:
         known = self._rows.get(row.searcher_id)
+        if row is known:
+            return
         if known is not None:
             row = newer(known, row)
             if row == known:
--- a/greengagemoor/wire/codec.py
+++ b/greengagemoor/wire/codec.py
@@ -37,6 +37,10 @@
 _SHARED = frozenset({"SearcherRows", "SlowSearchers", "KnownPeers"})
 SHARED_KEPT = 16
 """Encoded messages kept: what goes out within one tick, and the next."""
+# Parts that arrive alike from several processes.
+_REPEATED = frozenset({"SearcherRow"})
+REPEATED_KEPT = 2048
+"""Built parts kept, some 400 bytes each: searchers of a few hundred shards."""
 
 
 def _snake(name: str) -> str:
@@ -160,6 +164,11 @@
     if field.many:
         if field.item is None:
             return tuple(part)
+        if field.item.__name__ in _REPEATED:
+            return tuple(
+                _build_once(item.SerializeToString(), field.item)
+                for item in part
+            )
         return tuple(_build(item, field.item) for item in part)
     if field.item is None:
         return part
@@ -168,6 +177,17 @@
     return _build(part, field.item)
 
 
+@lru_cache(maxsize=REPEATED_KEPT)
+def _build_once(data: bytes, cls: type) -> Any:
+    """Builds what several processes tell alike only once.
+
+    A starting entry is told the same rows by each control instance. With nine
+    of them and 320 rows that was 33 ms of processor time beside load, while
+    callers wait for the first entries after a loss of power; it is 8 ms.
+    """
+    return _build(getattr(pb, cls.__name__).FromString(data), cls)
+
+
 def _read_choice(message: Message, choices: dict[str, str]) -> Any:
     name = message.WhichOneof("body")
     if name is None:
--- /dev/null
+++ b/tests/test_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the wire format between processes."""
