Answers leave in time for most, not for all; connections beyond a cap are known red

The longest of sixteen delays took time from the searchers of all answers after one stall; the 0.8 quantile doesn't.

--- a/greengagemoor/forward/leaving.py
+++ b/greengagemoor/forward/leaving.py
@@ -8,9 +8,11 @@
 
 KEPT = 16
 """Answers remembered; one gather in three seconds comes to an entry of many."""
-PRIOR_S = 0.015
-"""At least, until so many have left. An entry of many sees a dozen gathers in a
-minute, and a guess that is too long costs less than one that is too short."""
+PRIOR_S = 0.004
+"""Until one has left: a merge of some sixty parts and a write."""
+SHARE = 0.8
+"""Of the answers that must leave in time. By the longest delay instead, one
+stall would take time from the searchers of all answers after it."""
 LONGEST_S = 0.06
 """What took longer was a freeze or the like, which the next answer won't meet;
 kept, it would make a minute of answers leave parts out."""
@@ -37,7 +39,6 @@
 
     def margin_s(self, objective_s: float) -> float:
         """Returns how long before its time an answer should be given."""
-        longest = max(self._recent, default=0.0)
-        if len(self._recent) < KEPT:
-            longest = max(longest, PRIOR_S)
-        return min(longest, MOST_OF_OBJECTIVE * objective_s)
+        recent = sorted(self._recent) or [PRIOR_S]
+        usual = recent[int(SHARE * (len(recent) - 1))]
+        return min(usual, MOST_OF_OBJECTIVE * objective_s)
--- a/greengagemoor/forward/searchers.py
+++ b/greengagemoor/forward/searchers.py
@@ -74,7 +74,7 @@
         state=row.state,
         slots=max(1, row.slots),
         start=row.start,
-        cap=_cap(tables, row.service),
+        cap=share_of_cap(tables, row.service),
     )
     tables.searchers[searcher.searcher_id] = searcher
     tables.by_service.setdefault(searcher.service, []).append(searcher)
@@ -97,10 +97,10 @@
 def set_caps(tables: Tables) -> None:
     """Takes in changed caps, or another number of entries."""
     for searcher in tables.searchers.values():
-        searcher.cap = _cap(tables, searcher.service)
+        searcher.cap = share_of_cap(tables, searcher.service)
 
 
-def _cap(tables: Tables, service: str) -> int:
+def share_of_cap(tables: Tables, service: str) -> int:
     """Returns this entry's share of a searcher's connections.
 
     A searcher resets connections beyond its cap. The share is a fixed part, by
--- a/tests/test_feed/test_shares.py
+++ b/tests/test_feed/test_shares.py
@@ -11,11 +11,13 @@
 from greengagemoor.feed.hub import Hub
 from greengagemoor.feed.timing import Timing
 from greengagemoor.feed.view import View
+from greengagemoor.forward import searchers
 from greengagemoor.forward.tables import Policy, Tables
 from greengagemoor.serving.entry import ALLOWANCE_SHARE
 
 HUBS = ("c1", "c2", "c3")
 SLACK = 422.0
+CAP = 123
 TICK_S = 0.1
 
 
@@ -108,6 +110,7 @@
             if view.peers or view.entries > 1:
                 one = Tables("dc1", policy, random.Random(1))
                 one.entries = view.entries
+                one.caps = {"s": CAP}
                 made.append(one)
         return made
 
@@ -117,6 +120,11 @@
     return sum(t.policy.retry_slack / t.sharers for t in fleet.tables())
 
 
+def connections_of_all(fleet):
+    """Returns the connections that one searcher may get from all entries."""
+    return sum(searchers.share_of_cap(t, "s") for t in fleet.tables())
+
+
 def names(first, after):
     return [f"e{i}" for i in range(first, after)]
 
@@ -183,3 +191,25 @@
                 fleet.lose_power()
                 fleet.join(rng.sample(names(0, newcomers), number // 2))
             assert slack_of_all(fleet) <= SLACK
+
+
+class TestConnections:
+    """A searcher with 123 connections, and more entries than that.
+
+    Each entry's share is at least one, so 200 entries may open 200 and 1,000
+    may open 1,000; the searcher resets what comes beyond its cap, just when
+    many are busy or start again. On a day of 191 entries 48,303 connections
+    were opened for 168,398 requests.
+    """
+
+    def test_up_to_a_hundred_entries(self):
+        fleet = Fleet()
+        fleet.join(names(0, 100))
+        assert connections_of_all(fleet) <= CAP
+
+    @pytest.mark.xfail(reason="KNOWN-RED.txt, issue 25", strict=True)
+    @pytest.mark.parametrize("number", [200, 1000])
+    def test_no_searcher_gets_more_than_its_cap(self, number):
+        fleet = Fleet()
+        fleet.join(names(0, number))
+        assert connections_of_all(fleet) <= CAP
