Starting entries ask who leads, and rows for all are compressed once

Cause: after a loss of power 191 entries asked each of nine control instances ten times a second which document is current; only the leader can say. The other half of the same cause, a message to all for each entry that links again (the count of entries grew from none), went with the kept count.

--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -5,6 +5,7 @@
 import asyncio
 import struct
 import zlib
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
@@ -27,6 +28,8 @@
 """Bytes from which a batch is compressed: the rows of 118 searchers are 7.7 KB,
 and 3.1 KB packed; what is shorter gains little."""
 PACK_LEVEL = 1
+PACKED_KEPT = 4
+"""Batches kept compressed: those of one moment, in different company."""
 KEEP_ALIVE_S = 0.5
 SILENT_S = 1.7
 """A link without a byte for three keep-alives is dead: a cut or a freeze drops
@@ -112,7 +115,7 @@
         data = codec.to_batch(name, address, payloads).SerializeToString()
         head = len(data)
         if len(data) >= PACK_FROM:
-            data = zlib.compress(data, PACK_LEVEL)
+            data = _pack(data)
             head = len(data) | PACKED
         self._links.sent_bytes += HEAD.size + len(data)
         self._transport.write(HEAD.pack(head) + data)
@@ -137,6 +140,17 @@
             self._transport.abort()
 
 
+@lru_cache(maxsize=PACKED_KEPT)
+def _pack(data: bytes) -> bytes:
+    """Compresses a batch; what goes out to many alike, once.
+
+    After a loss of power all entries get the same rows in the same moment:
+    16 KB of 320 searchers take 0.11 ms to compress and 0.01 to find here, 191
+    times at each control instance.
+    """
+    return zlib.compress(data, PACK_LEVEL)
+
+
 def _unpack(frame: bytes) -> bytes:
     """Decompresses a batch, within the bound of a frame."""
     unpacker = zlib.decompressobj()
--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -3,20 +3,14 @@
 from __future__ import annotations
 
 import zlib
-from itertools import count
 from typing import TYPE_CHECKING
 
 import attrs
 
 from greengagemoor.codes import Code
-from greengagemoor.control.messages import (
-    OpKind,
-    OpReply,
-    OpRequest,
-    Received,
-    Send,
-)
+from greengagemoor.control.messages import OpReply, Received, Send
 from greengagemoor.feed import messages as m
+from greengagemoor.feed.reads import Reads
 from greengagemoor.feed.rows import newer
 from greengagemoor.util import difference
 
@@ -24,10 +18,6 @@
     from collections.abc import Iterable
 
 FETCH_AGAIN_S = 0.5
-READ_AGAIN_S = 0.1
-READ_SOON_S = 0.02
-"""Least time between two reads, when there is reason to ask before
-``READ_AGAIN_S`` is over."""
 REPORT_EVERY_S = 0.1
 KEPT_LEVEL = 1
 """Compression of the document that is kept for the next difference."""
@@ -69,6 +59,7 @@
         self.number = 0
         self._packed = b""
         self._wants_whole = False
+        self._reads = Reads()
         self.entries = 1
         self.peers: tuple[str, ...] = ()
         self.leaving = False
@@ -79,8 +70,6 @@
         self._fetch: _Fetch | None = None
         self._slow_seen: set[m.SearcherKey] = set()
         self._report_at = 0.0
-        self._read_at = 0.0
-        self._op_ids = count(1)
         self._now = 0.0
         self._out: list = []
 
@@ -111,7 +100,7 @@
         if self._fetch is not None:
             times.append(self._fetch.again_at)
         if self._confirmed_at is None:
-            times.append(self._read_at)
+            times.append(self._reads.at)
         return min(times)
 
     @property
@@ -145,7 +134,7 @@
             self._out.append(Send(sender, m.RowsTaken(payload.number)))
         elif isinstance(payload, m.DocumentNumber):
             source.document = max(source.document, payload.number)
-            self._read_soon()
+            self._reads.hurry(self._now)
         elif isinstance(payload, m.NumberedDocument):
             self._take_numbered(payload)
         elif isinstance(payload, m.SlowSearchers):
@@ -208,6 +197,9 @@
         return zlib.compress(text, KEPT_LEVEL)
 
     def _take_read(self, reply: OpReply) -> None:
+        if reply.code == Code.NOT_LEADER:
+            self._reads.note_leader(self._now, reply.leader)
+            return
         if reply.code != Code.CURRENT:
             return
         self._take_document(reply.version, reply.packed)
@@ -249,35 +241,18 @@
             self._out.append(Send(min(self._sources), report))
         self._slow_seen.clear()
 
-    def _read_soon(self) -> None:
-        """Asks again now that a control instance has a document.
-
-        After a kill of everything the control group has a leader at some
-        moment; an entry that asks each tenth of a second lets callers wait
-        half of that after it for nothing.
-        """
-        soon = self._read_at - READ_AGAIN_S + READ_SOON_S
-        self._read_at = min(self._read_at, max(self._now, soon))
-
     def _drive_read(self) -> None:
         """Asks until a quorum has confirmed which document is current.
 
-        An entry that trusted the first control instance could serve an old
-        document after a restart, if that instance is cut off from the others.
+        What any control instance has is fetched already, from one of them:
+        nine answers with the whole document would go to each entry after a
+        loss of power.
         """
-        if self._confirmed_at is not None or self._now < self._read_at:
+        if self._confirmed_at is not None or not self._reads.is_due(self._now):
             return
-        self._read_at = self._now + READ_AGAIN_S
-        # What any of them has is fetched already, from one: nine answers with
-        # the whole document would go to each entry after a loss of power.
-        known = max((s.document for s in self._sources.values()), default=0)
-        for name in self._sources:
-            request = OpRequest(
-                next(self._op_ids),
-                OpKind.READ_NUMBERED,
-                known_version=max(self.number, known),
-            )
-            self._out.append(Send(name, request))
+        told = max((s.document for s in self._sources.values()), default=0)
+        known = max(self.number, told)
+        self._out += self._reads.ask(self._now, list(self._sources), known)
 
     def _drive_ready(self) -> None:
         ready = not self.leaving and self._is_settled()
