--- a/bench/mutant_list.py
+++ b/bench/mutant_list.py
@@ -27,6 +27,8 @@
 QUERY = "tests/test_query/"
 CONTROL = "tests/test_control/test_apply.py::"
 REPAIR = "tests/test_control/test_repair.py::"
+FEED = "tests/test_feed/"
+ELECTIONS = "tests/test_control/test_elections.py::"
 JOINING = "tests/test_control/test_joining.py"
 FOUNDING = "tests/test_control/test_founding.py"
 MEMBERSHIP = "tests/test_membership/"
@@ -167,7 +169,7 @@
         "control/election.py",
         "            _campaign(state, pre=True)",
         "            _campaign(state, pre=False)",
-        (REPAIR + "TestElections",),
+        (ELECTIONS + "TestElections",),
     ),
     Mutant(
         "repair: votes only when whole",
@@ -425,4 +427,53 @@
         "if False:",
         ("tests/test_serving/test_durable.py",),
     ),
+    Mutant(
+        "repair: a leader's own dead vote",
+        "control/members.py",
+        "    if member.member_id == state.member_id:\n        return True\n",
+        "",
+        (REPAIR + "TestLeaderWithoutItsOldDisk",),
+    ),
+    Mutant(
+        "who is gone is dialled no more",
+        "aio/links.py",
+        "for address in set(self._wanted) - addresses:",
+        "for address in ():",
+        ("tests/test_aio/test_links.py",),
+    ),
+    Mutant(
+        "shares: the count outlives a loss of power",
+        "feed/subscribers.py",
+        "        self._kept_entries = entries\n",
+        "",
+        (FEED + "test_shares.py",),
+    ),
+    Mutant(
+        "differences: only of the document that the entry has",
+        "feed/view.py",
+        "if msg.base != self.number:",
+        "if False:",
+        (FEED + "test_documents.py",),
+    ),
+    Mutant(
+        "differences: the text is checked",
+        "util/difference.py",
+        "if len(new) != size or zlib.crc32(new) != after:",
+        "if False:",
+        ("tests/test_util/test_difference.py",),
+    ),
+    Mutant(
+        "starts: few are asked in a round",
+        "feed/reads.py",
+        "turn = (others[start:] + others[:start])[:ASKED_IN_TURN]",
+        "turn = others",
+        (FEED + "test_reads.py",),
+    ),
+    Mutant(
+        "answers leave in time",
+        "forward/decider.py",
+        "left -= tables.leaving.margin_s(route.objective_s)",
+        "pass",
+        ("tests/test_forward/test_load.py",),
+    ),
 )
--- /dev/null
+++ b/tests/test_feed/helpers.py
@@ -0,0 +1,75 @@
+"""A hub and a view under a fake clock, and short ways to speak to them."""
+
+from __future__ import annotations
+
+import attrs
+
+from greengagemoor.codes import Code
+from greengagemoor.control.messages import OpReply, Received, Send
+from greengagemoor.feed import messages as m
+from greengagemoor.feed.hub import Hub
+from greengagemoor.feed.messages import SearcherState
+from greengagemoor.feed.timing import Timing
+from greengagemoor.feed.view import View
+
+ANNOUNCE_S = 1.0
+ROW = m.SearcherRow(
+    "i1", "s", "10.0.0.1:80", "dc1", SearcherState.READY, 1, 2, 0.0
+)
+ENTRY = m.Subscribe("e1", "10.0.0.9:80", "dc1", ready=True)
+
+
+def row(**changes):
+    return attrs.evolve(ROW, **changes)
+
+
+class HubBench:
+    """Steps a hub under a fake clock."""
+
+    def __init__(self):
+        self.hub = Hub(Timing(ANNOUNCE_S))
+        self.now = 0.0
+
+    def step(self, *msgs, after=0.0):
+        self.now += after
+        return self.hub.step(self.now, msgs)
+
+    def subscribe(self, name="e1"):
+        msg = attrs.evolve(ENTRY, name=name)
+        return self.step(Received(name, msg))
+
+
+def rows_to(out, name="e1"):
+    """Returns the rows sent to an entry."""
+    return [
+        r
+        for msg in out
+        if isinstance(msg, Send)
+        and msg.to == name
+        and isinstance(msg.payload, m.SearcherRows)
+        for r in msg.payload.rows
+    ]
+
+
+def taken(out):
+    """Returns the tokens that may be acknowledged."""
+    return [msg.token for msg in out if isinstance(msg, m.AnnouncementTaken)]
+
+
+class ViewBench:
+    """Steps an entry's view under a fake clock."""
+
+    def __init__(self):
+        self.view = View("e1", "10.0.0.9:80", "dc1")
+        self.now = 0.0
+
+    def step(self, *msgs, after=0.0):
+        self.now += after
+        return self.view.step(self.now, msgs)
+
+    def hear(self, payload, sender="c1", **more):
+        return self.step(Received(sender, payload), **more)
+
+    def confirm(self, number=1):
+        reply = OpReply(1, Code.CURRENT, version=number, packed=b"doc")
+        return self.hear(reply)
--- a/tests/test_feed/test_documents.py
+++ b/tests/test_feed/test_documents.py
@@ -14,7 +14,7 @@
 )
 from greengagemoor.feed import messages as m
 from greengagemoor.feed.history import KEPT
-from tests.test_feed.test_hub_and_view import HubBench, ViewBench
+from tests.test_feed.helpers import HubBench, ViewBench
 
 
 def text(number):
--- a/tests/test_feed/test_new_start.py
+++ b/tests/test_feed/test_new_start.py
@@ -12,7 +12,7 @@
 from greengagemoor.feed.rows import newer
 from greengagemoor.feed.slowness import LEAST_SLICES, SLICE_S
 from greengagemoor.wire import codec
-from tests.test_feed.test_hub_and_view import (
+from tests.test_feed.helpers import (
     ANNOUNCE_S,
     HubBench,
     ViewBench,
--- a/tests/test_feed/test_reads.py
+++ b/tests/test_feed/test_reads.py
@@ -6,7 +6,7 @@
 from greengagemoor.control.messages import OpReply, OpRequest, Send
 from greengagemoor.feed import messages as m
 from greengagemoor.feed.reads import ASKED_IN_TURN, READ_AGAIN_S, READ_SOON_S
-from tests.test_feed.test_hub_and_view import ViewBench
+from tests.test_feed.helpers import ViewBench
 
 NINE = tuple(f"c{i}" for i in range(1, 10))
 
--- a/tests/test_feed/test_slowness.py
+++ b/tests/test_feed/test_slowness.py
@@ -9,7 +9,7 @@
     LONGEST_AVOID_S,
     SlowTable,
 )
-from tests.test_feed.test_hub_and_view import HubBench, ViewBench
+from tests.test_feed.helpers import HubBench, ViewBench
 
 KEY = m.SearcherKey("i1")
 
