--- a/greengagemoor/forward/leaving.py
+++ b/greengagemoor/forward/leaving.py
@@ -8,15 +8,17 @@
 
 KEPT = 16
 """Answers remembered; one gather in three seconds comes to an entry of many."""
-PRIOR_S = 0.004
-"""Until one has left: a merge of some sixty parts and a write."""
+PRIOR_S = 0.012
+"""At least, until so many have left: an entry of many sees a dozen gathers in
+a minute. A guess 10 ms too long costs each answer that waits a part of a
+hundredth; one that is too short makes it late."""
 SHARE = 0.8
 """Of the answers that must leave in time. By the longest delay instead, one
 stall would take time from the searchers of all answers after it."""
 LONGEST_S = 0.06
 """What took longer was a freeze or the like, which the next answer won't meet;
 kept, it would make a minute of answers leave parts out."""
-MOST_OF_OBJECTIVE = 0.25
+MOST_OF_OBJECTIVE = 0.15
 """A quick route keeps most of its objective for its searchers."""
 
 
@@ -41,4 +43,6 @@
         """Returns how long before its time an answer should be given."""
         recent = sorted(self._recent) or [PRIOR_S]
         usual = recent[int(SHARE * (len(recent) - 1))]
+        if len(recent) < KEPT:
+            usual = max(usual, PRIOR_S)
         return min(usual, MOST_OF_OBJECTIVE * objective_s)
