--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -236,6 +236,15 @@
     packed: bytes
 
 
+@values.frozen
+class DifferenceRefused:
+    """A difference does not fit what this entry has; it asks for the whole."""
+
+    source: str
+    number: int
+    reason: str
+
+
 @values.frozen
 class ReadyChanged:
     """Whether this entry may be given to callers."""
--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -82,7 +82,7 @@
 
         Returns:
             ``Send``, ``SearcherLearnt``, ``SlowSearchers``,
-            ``DocumentLearnt``, ``ReadyChanged``.
+            ``DocumentLearnt``, ``DifferenceRefused``, ``ReadyChanged``.
         """
         self._now = now
         self._out = []
@@ -136,7 +136,7 @@
             source.document = max(source.document, payload.number)
             self._reads.hurry(self._now)
         elif isinstance(payload, m.NumberedDocument):
-            self._take_numbered(payload)
+            self._take_numbered(sender, payload)
         elif isinstance(payload, m.SlowSearchers):
             self._out.append(payload)
         elif isinstance(payload, m.KnownPeers):
@@ -177,14 +177,15 @@
         if self._fetch is not None and number >= self.number:
             self._fetch = None
 
-    def _take_numbered(self, msg: m.NumberedDocument) -> None:
+    def _take_numbered(self, sender: str, msg: m.NumberedDocument) -> None:
         packed = msg.packed
         if msg.base and msg.number > self.number:
             try:
                 packed = self._unpack_against(msg)
-            except ValueError:
-                # It was packed against what this entry had when it asked;
-                # asked again, now for the whole.
+            except ValueError as exc:
+                # It was packed against what this entry had when it asked.
+                refused = m.DifferenceRefused(sender, msg.number, str(exc))
+                self._out.append(refused)
                 self._wants_whole = True
                 self._fetch = None
                 return
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -109,6 +109,7 @@
             "sends_running": len(tables.attempts),
             "sends_waiting": waiting,
             "least_budget_left": min(left, default=0.0),
+            "leaving_delay_seconds": tables.leaving.usual_s,
             **{f"searchers_{name}": n for name, n in states.items()},
         }
 
--- a/greengagemoor/forward/leaving.py
+++ b/greengagemoor/forward/leaving.py
@@ -39,10 +39,13 @@
         if delay_s <= LONGEST_S:
             self._recent.append(delay_s)
 
-    def margin_s(self, objective_s: float) -> float:
-        """Returns how long before its time an answer should be given."""
+    @property
+    def usual_s(self) -> float:
+        """Most answers leave within it."""
         recent = sorted(self._recent) or [PRIOR_S]
         usual = recent[int(SHARE * (len(recent) - 1))]
-        if len(recent) < KEPT:
-            usual = max(usual, PRIOR_S)
-        return min(usual, MOST_OF_OBJECTIVE * objective_s)
+        return usual if len(recent) == KEPT else max(usual, PRIOR_S)
+
+    def margin_s(self, objective_s: float) -> float:
+        """Returns how long before its time an answer should be given."""
+        return min(self.usual_s, MOST_OF_OBJECTIVE * objective_s)
--- a/greengagemoor/logfields.py
+++ b/greengagemoor/logfields.py
@@ -24,6 +24,7 @@
     "document": "a newer document is in force in this process",
     "document_refused": "an operator's document is invalid",
     "document_unreadable": "an accepted document can't be decoded here",
+    "difference_refused": "a document's difference does not fit; fetched whole",
     "operation": "an operator's put or read ended",
     "ready": "whether callers may be given this entry has changed",
     "searcher": "what this process knows of a searcher has changed",
--- a/greengagemoor/serving/beliefs.py
+++ b/greengagemoor/serving/beliefs.py
@@ -8,7 +8,11 @@
 
 if TYPE_CHECKING:
     from greengagemoor.control.decider import ControlDecider
-    from greengagemoor.feed.messages import SearcherRow
+    from greengagemoor.feed.messages import (
+        DifferenceRefused,
+        SearcherRow,
+        SlowSearchers,
+    )
 
 
 class Beliefs:
@@ -54,3 +58,20 @@
         sequence=row.sequence,
         start=row.start,
     )
+
+
+def tell_slow(msg: SlowSearchers) -> None:
+    """Tells which searchers an entry leaves alone for a while."""
+    ids = ",".join(key.searcher_id for key in msg.searchers)
+    log.event("searcher_slow", searcher=ids, for_s=msg.for_s)
+
+
+def tell_refused(msg: DifferenceRefused) -> None:
+    """Tells that a document has to be fetched whole, and why."""
+    log.event(
+        "difference_refused",
+        level="WARNING",
+        peer=msg.source,
+        version=msg.number,
+        reason=msg.reason,
+    )
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -200,11 +200,12 @@
             beliefs.tell_searcher(msg.row)
             forward_msgs.append(msg)
         elif isinstance(msg, feed.SlowSearchers):
-            ids = ",".join(key.searcher_id for key in msg.searchers)
-            log.event("searcher_slow", searcher=ids, for_s=msg.for_s)
+            beliefs.tell_slow(msg)
             forward_msgs.append(msg)
         elif isinstance(msg, feed.DocumentLearnt):
             self._take_document(msg)
+        elif isinstance(msg, feed.DifferenceRefused):
+            beliefs.tell_refused(msg)
         elif isinstance(msg, feed.ReadyChanged):
             log.event("ready", ready=msg.ready, document=self._view.number)
 
@@ -272,8 +273,7 @@
         if req is not None:
             self._reply(req, self._dialect.write_answer(msg))
         if msg.merged is not None:
-            left = AnswerLeft(self.clock.now() - msg.due_at)
-            self._ticker.put(left)
+            self._ticker.put(AnswerLeft(self.clock.now() - msg.due_at))
         self._metrics.note(msg)
         self._request_log.note(self.clock.now(), msg, self._view.number)
 
--- a/tests/test_feed/test_documents.py
+++ b/tests/test_feed/test_documents.py
@@ -106,6 +106,8 @@
         bad = m.NumberedDocument(9, whole.packed[:-3] + b"abc", 7)
         view, out = self.refused(bad)
         assert learnt(out) == []
+        (told,) = [x for x in out if isinstance(x, m.DifferenceRefused)]
+        assert (told.source, told.number) == ("c1", 9)
         assert Send("c1", m.WantNumbered(0)) in out
         assert view.view.number == 7
 
