--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -138,8 +138,7 @@
         await asyncio.sleep(KEEP_SERVING_SHARE * self.cfg.grace_s)
         self._callers.stop_accepting()
         while loop.time() < started + 0.9 * self.cfg.grace_s:
-            # A connection that was accepted just now is made a turn later,
-            # and brings its request then.
+            # One accepted just now is made a turn later, with its request.
             self._callers.close_idle()
             await asyncio.sleep(IDLE_LOOK_S)
             if self._forward.is_idle and not self._callers.conns:
