--- a/greengagemoor/cmd/ctl.py
+++ b/greengagemoor/cmd/ctl.py
@@ -12,7 +12,7 @@
 import attrs
 import typer
 
-from greengagemoor.cmd import logs, quarantine
+from greengagemoor.cmd import evacuations, logs, quarantine
 from greengagemoor.cmd.calls import At, Exit, call, end_with
 from greengagemoor.cmd.calls import show as show_body
 from greengagemoor.codes import Code
@@ -33,6 +33,9 @@
 app.command("losses")(logs.losses_command)
 app.command("quarantine")(quarantine.quarantine_command)
 app.command("clear")(quarantine.clear_command)
+app.command("evacuate")(evacuations.evacuate_command)
+app.command("restore")(evacuations.restore_command)
+app.command("evacuations")(evacuations.evacuations_command)
 
 
 def _read_document(path: Path) -> Any:
--- /dev/null
+++ b/greengagemoor/cmd/evacuations.py
@@ -0,0 +1,40 @@
+"""Commands about evacuations of data centres."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from greengagemoor.cmd import calls
+from greengagemoor.cmd.quarantine import DEFAULT_AT
+from greengagemoor.serving.operators import EVACUATIONS_PATH
+
+DataCentre = Annotated[str, typer.Argument(help="As in the settings.")]
+
+
+def evacuations_command(at: calls.At = DEFAULT_AT) -> None:
+    """Lists for which data centres an order was given, and which hold."""
+    _show(calls.call(at, "GET", EVACUATIONS_PATH))
+
+
+def evacuate_command(
+    data_centre: DataCentre, at: calls.At = DEFAULT_AT
+) -> None:
+    """Sends nothing more to the backend servers of a data centre."""
+    _order(at, data_centre, active=True)
+
+
+def restore_command(data_centre: DataCentre, at: calls.At = DEFAULT_AT) -> None:
+    """Takes the evacuation of a data centre back."""
+    _order(at, data_centre, active=False)
+
+
+def _order(at: str, data_centre: str, *, active: bool) -> None:
+    body = {"data_centre": data_centre, "active": active}
+    _show(calls.call(at, "POST", EVACUATIONS_PATH, body))
+
+
+def _show(reply: calls.Reply) -> None:
+    calls.show(reply.body)
+    calls.end_with(reply)
--- a/greengagemoor/codes.py
+++ b/greengagemoor/codes.py
@@ -96,9 +96,9 @@
         410, "the id is older than the kept window; it may have run before"
     ),
     Code.IN_PROGRESS: CodeInfo(409, "the same id is running now"),
-    Code.ACCEPTED: CodeInfo(200, "the document is committed and synced"),
+    Code.ACCEPTED: CodeInfo(200, "the change is committed and synced"),
     Code.CONFLICT: CodeInfo(409, "another change won this version number"),
-    Code.INVALID: CodeInfo(422, "the document is refused whole"),
+    Code.INVALID: CodeInfo(422, "the change is refused whole"),
     Code.NOT_ACCEPTED: CodeInfo(503, "not accepted, and never will be"),
     Code.APPLY_UNKNOWN: CodeInfo(
         504, "may have been accepted; resend the same apply id"
--- a/greengagemoor/control/client.py
+++ b/greengagemoor/control/client.py
@@ -127,11 +127,26 @@
             pending.maybe = True
             pending.resend_at = now + PAUSE_S
             self._leader = ""
+        elif (
+            reply.code == Code.CONFLICT and pending.ask.kind is OpKind.EVACUATE
+        ):
+            self._give_anew(now, pending, reply.version)
         else:
             self._leader = msg.sender
             del self._pending[reply.op_id]
             out.append(Done(pending.ask.token, pending.ask.kind, reply))
 
+    def _give_anew(self, now: float, pending: _Pending, number: int) -> None:
+        """Gives an order again on what holds by now.
+
+        Its operator still waits for it; that another order came in between,
+        or that this instance knew an older state, doesn't void it.
+        """
+        command = attrs.evolve(pending.ask.command, replaces=number)
+        pending.ask = attrs.evolve(pending.ask, command=command)
+        pending.unanswered = 0
+        pending.resend_at = now
+
     def _redirect(
         self, now: float, pending: _Pending, sender: str, hint: str
     ) -> None:
--- a/greengagemoor/control/commands.py
+++ b/greengagemoor/control/commands.py
@@ -94,8 +94,30 @@
     time: float
 
 
+@values.frozen
+class SetEvacuation:
+    """Evacuates a data centre, or takes that back.
+
+    Attributes:
+        active: whether its searchers are to get nothing from now on.
+        replaces: number of the latest change that was known where the order
+            came in.
+    """
+
+    data_centre: str
+    active: bool
+    replaces: int
+    time: float
+
+
 Command = (
-    NoOp | ApplyDocument | Claim | RecordOutcome | ChangeMembers | PutDocument
+    NoOp
+    | ApplyDocument
+    | Claim
+    | RecordOutcome
+    | ChangeMembers
+    | PutDocument
+    | SetEvacuation
 )
 
 
--- a/greengagemoor/control/decider.py
+++ b/greengagemoor/control/decider.py
@@ -34,9 +34,10 @@
 
     Messages in: ``Received``, ``Persisted``, ``PersistFailed``,
     ``SeedsChanged`` and once, first, ``Recovered``. Messages out: ``Send``,
-    ``Persist``, ``DocumentAccepted``, ``NumberedAccepted``, ``Confirmed`` and
-    the notices of ``notices``. After ``PersistFailed`` it stays silent: what it
-    wrote may be lost, and a restart must find out what is left.
+    ``Persist``, ``DocumentAccepted``, ``NumberedAccepted``,
+    ``EvacuationsAccepted``, ``Confirmed`` and the notices of ``notices``. After
+    ``PersistFailed`` it stays silent: what it wrote may be lost, and a restart
+    must find out what is left.
     """
 
     def __init__(
@@ -203,6 +204,7 @@
                     m.DocumentAccepted(documents.version, documents.text)
                 )
         replication.announce_numbered(state)
+        replication.announce_evacuations(state)
         state.log.merge(msg.entries)
         state.set_members("from_disk")
         state.disk.synced_index = state.log.last_index
--- a/greengagemoor/control/machine.py
+++ b/greengagemoor/control/machine.py
@@ -14,8 +14,10 @@
     NoOp,
     PutDocument,
     RecordOutcome,
+    SetEvacuation,
 )
 from greengagemoor.control.documents import ApplyResult, Documents
+from greengagemoor.control.evacuationtable import EvacuationTable
 from greengagemoor.control.ledger import (
     DEFAULT_WINDOW_S,
     ClaimAnswer,
@@ -34,6 +36,7 @@
         self.documents = Documents()
         self.ledger = Ledger()
         self.numbered = Numbered()
+        self.evacuations = EvacuationTable()
 
     def apply(self, command: Command) -> ApplyResult | ClaimAnswer | None:
         """Applies one committed command and returns its result, if any."""
@@ -72,6 +75,10 @@
         number = self.numbered.put(command)
         return ApplyResult(Code.ACCEPTED, number)
 
+    @_apply.register
+    def _(self, command: SetEvacuation) -> ApplyResult:
+        return self.evacuations.set(command)
+
     def _set_window(self) -> None:
         decoded = json.loads(self.documents.text)
         window = float(decoded.get("ledger_window_s", DEFAULT_WINDOW_S))
@@ -83,14 +90,16 @@
             self.documents.save(),
             self.ledger.save(),
             self.numbered.save(),
+            self.evacuations.save(),
         ]
         return json.dumps(parts).encode()
 
     def load(self, data: bytes) -> None:
         """Replaces the whole state by a snapshot's."""
-        documents, ledger, *numbered = json.loads(data)
+        documents, ledger, *later = json.loads(data)
         self.documents.load(documents)
         self.ledger.load(ledger)
-        # A snapshot of an earlier release has no third part.
-        if numbered:
-            self.numbered.load(numbered[0])
+        # Snapshots of earlier releases end after the second or third part.
+        parts = (self.numbered, self.evacuations)
+        for part, saved in zip(parts, later, strict=False):
+            part.load(saved)
--- a/greengagemoor/control/messages.py
+++ b/greengagemoor/control/messages.py
@@ -11,6 +11,7 @@
 import attrs
 
 from greengagemoor.control.commands import Command, LogEntry, Snapshot
+from greengagemoor.control.evacuations import Evacuation
 from greengagemoor.control.joinmessages import JoinReply, JoinRequest
 from greengagemoor.util import values
 
@@ -110,6 +111,7 @@
     REMOVE_MEMBER = "remove_member"
     PUT = "put"
     READ_NUMBERED = "read_numbered"
+    EVACUATE = "evacuate"
 
 
 @values.frozen
@@ -143,6 +145,7 @@
         verdict: a ``codes.ClaimVerdict`` value for CLAIM.
         detail: faults, one a line.
         packed: the numbered document, compressed, for READ_NUMBERED.
+        evacuations: the latest word on each data centre, for READ_NUMBERED.
     """
 
     op_id: int
@@ -154,6 +157,7 @@
     verdict: str = ""
     detail: str = ""
     packed: bytes = attrs.field(default=b"", repr=False)
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 # Between the decider and its disk.
@@ -252,6 +256,13 @@
     packed: bytes
 
 
+@values.frozen
+class EvacuationsAccepted:
+    """This member applied committed evacuations, or ends of them."""
+
+    rows: tuple[Evacuation, ...]
+
+
 @values.frozen
 class Confirmed:
     """A quorum confirmed that ``version`` was current.
--- a/greengagemoor/control/operations.py
+++ b/greengagemoor/control/operations.py
@@ -202,4 +202,5 @@
         version=numbered.number,
         leader=state.instance,
         packed=numbered.packed if newer else b"",
+        evacuations=state.machine.evacuations.rows(),
     )
--- a/greengagemoor/control/replication.py
+++ b/greengagemoor/control/replication.py
@@ -11,6 +11,7 @@
     AppendReply,
     AppendRequest,
     DocumentAccepted,
+    EvacuationsAccepted,
     InstallSnapshot,
     NumberedAccepted,
 )
@@ -164,6 +165,7 @@
         state.disk.snapshot = snapshot
         _announce_document(state)
         announce_numbered(state)
+        announce_evacuations(state)
     _reply(state, msg, ok=True, match_index=snapshot.index)
 
 
@@ -239,12 +241,15 @@
 def _apply(state: State, entry: LogEntry) -> None:
     before = state.machine.documents.version
     numbered = state.machine.numbered.number
+    evacuations = state.machine.evacuations.rows()
     result = state.machine.apply(entry.command)
     state.applied = entry.index
     if state.machine.documents.version != before:
         _announce_document(state)
     if state.machine.numbered.number != numbered:
         announce_numbered(state)
+    if state.machine.evacuations.rows() != evacuations:
+        announce_evacuations(state)
     if entry.index in state.pending:
         state.results.append(Applied(entry, result))
 
@@ -262,6 +267,13 @@
         state.out.append(NumberedAccepted(numbered.number, numbered.packed))
 
 
+def announce_evacuations(state: State) -> None:
+    """Tells this process of evacuations, if there ever was one."""
+    rows = state.machine.evacuations.rows()
+    if rows:
+        state.out.append(EvacuationsAccepted(rows))
+
+
 def _snapshot_when_due(state: State) -> None:
     """Keeps log, folder and restart time bounded.
 
--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -5,7 +5,13 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from greengagemoor.control.messages import NumberedAccepted, Received, Send
+from greengagemoor.control.evacuations import EvacuationView
+from greengagemoor.control.messages import (
+    EvacuationsAccepted,
+    NumberedAccepted,
+    Received,
+    Send,
+)
 from greengagemoor.feed import messages as m
 from greengagemoor.feed.heard import FORGET_S, LOST_AFTER_BEATS, HeardRows
 from greengagemoor.feed.history import DocumentHistory
@@ -50,6 +56,7 @@
         self._subscribed: set[str] = set()
         self._others = OtherRows(LOST_AFTER_BEATS * timing.announce, FORGET_S)
         self._slow = SlowTable()
+        self._evacuations = EvacuationView()
         self.suspects = SuspectSpread(self._subscribers)
         self._services: frozenset[str] | None = None
         self._outside = False
@@ -73,7 +80,8 @@
         Args:
             now: seconds of a clock that doesn't go back.
             msgs: ``Announced``, ``Leaving``, ``Received``, ``LinkUp``,
-                ``LinkDown``, ``NumberedAccepted``, ``ClearSuspect``.
+                ``LinkDown``, ``NumberedAccepted``, ``EvacuationsAccepted``,
+                ``ClearSuspect``.
 
         Returns:
             ``Send``, ``AnnouncementTaken``, ``AnnouncementRefused`` and
@@ -192,6 +200,8 @@
             self._subscribers.drop(msg.name)
         elif isinstance(msg, NumberedAccepted):
             self._take_document(msg)
+        elif isinstance(msg, EvacuationsAccepted):
+            self._take_evacuations(msg)
         elif isinstance(msg, m.ClearSuspect):
             self._out += self.suspects.clear(msg.fingerprint)
 
@@ -272,6 +282,9 @@
             # the newer row.
             rows = self._others.rows() + rows
         self._out.append(Send(sender, self._known_peers()))
+        if msg.address and self._evacuations.rows():
+            told = m.Evacuations(self._evacuations.rows())
+            self._out.append(Send(sender, told))
         self._out += self.suspects.tell(sender, is_entry=bool(msg.address))
         self._out.append(Send(sender, m.SearcherRows(self._number, True, rows)))
         self._out.append(Send(sender, m.DocumentNumber(self._documents.number)))
@@ -282,6 +295,17 @@
         for name in self._subscribers:
             self._out.append(Send(name, m.DocumentNumber(msg.number)))
 
+    def _take_evacuations(self, msg: EvacuationsAccepted) -> None:
+        news = self._evacuations.take(msg.rows)
+        if not news:
+            return
+        told = m.Evacuations(news)
+        self._out += [
+            Send(name, told)
+            for name in self._subscribers
+            if self._subscribers.is_entry(name)
+        ]
+
     def _sweep(self) -> None:
         """Marks searchers lost that went silent, forgets what is long ended."""
         self._sweep_at = self._now + self._timing.announce / 4
--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -1,6 +1,6 @@
 """Messages of the feed between control instances and entries.
 
-The attrs classes down to ``SuspectRows`` travel as protobuf messages of the
+The attrs classes down to ``Evacuations`` travel as protobuf messages of the
 same names (wire/peers.proto); the rest stays inside a process. Times are
 seconds.
 """
@@ -9,6 +9,7 @@
 
 import enum
 
+from greengagemoor.control.evacuations import Evacuation
 from greengagemoor.util import values
 
 
@@ -191,9 +192,23 @@
     rows: tuple[Suspect, ...]
 
 
+@values.frozen
+class Evacuations:
+    """The latest word on each data centre that the sender knows."""
+
+    rows: tuple[Evacuation, ...]
+
+
 # Inside a process.
 
 
+@values.frozen
+class EvacuationsLearnt:
+    """Newer words on data centres reached this entry."""
+
+    rows: tuple[Evacuation, ...]
+
+
 @values.frozen
 class SuspectsSeen:
     """An entry has seen searchers end, or a request answered."""
--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -8,6 +8,7 @@
 import attrs
 
 from greengagemoor.codes import Code
+from greengagemoor.control.evacuations import EvacuationView
 from greengagemoor.control.messages import OpReply, Received, Send
 from greengagemoor.feed import messages as m
 from greengagemoor.feed import spread
@@ -19,6 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from greengagemoor.control.evacuations import Evacuation
+
 FETCH_AGAIN_S = 0.5
 REPORT_EVERY_S = 0.1
 KEPT_LEVEL = 1
@@ -70,6 +73,7 @@
         self.number = 0
         self._packed = b""
         self._wants_whole = False
+        self._evacuations = EvacuationView()
         self._reads = Reads()
         self.entries = 1
         self.peers: tuple[str, ...] = ()
@@ -94,7 +98,8 @@
 
         Returns:
             ``Send``, ``SearcherLearnt``, ``SlowSearchers``, ``SuspectsLearnt``,
-            ``DocumentLearnt``, ``DifferenceRefused``, ``ReadyChanged``.
+            ``EvacuationsLearnt``, ``DocumentLearnt``, ``DifferenceRefused``,
+            ``ReadyChanged``.
         """
         self._now = now
         self._out = []
@@ -164,6 +169,8 @@
             self._out.append(payload)
         elif isinstance(payload, m.SuspectRows):
             self._out.append(m.SuspectsLearnt(payload.rows))
+        elif isinstance(payload, m.Evacuations):
+            self._take_evacuations(payload.rows)
         elif isinstance(payload, m.KnownPeers):
             source.peers = payload.addresses
             self._take_peers()
@@ -171,6 +178,11 @@
         elif isinstance(payload, OpReply):
             self._take_read(payload)
 
+    def _take_evacuations(self, rows: tuple[Evacuation, ...]) -> None:
+        news = self._evacuations.take(rows)
+        if news:
+            self._out.append(m.EvacuationsLearnt(news))
+
     def _take_peers(self) -> None:
         """Keeps those whom any linked control instance names.
 
@@ -229,6 +241,8 @@
         if reply.code != Code.CURRENT:
             return
         self._take_document(reply.version, reply.packed)
+        # Before it serves, a starting entry has to know these as well.
+        self._take_evacuations(reply.evacuations)
         if self._confirmed_at is None:
             self._confirmed_at = self._now
             self._confirmed = reply.version
--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -71,6 +71,8 @@
     """Whether a searcher may be sent to now, places aside."""
     if row.state in (SearcherState.DRAINING, SearcherState.GONE):
         return False
+    if row.data_centre in tables.evacuated:
+        return False
     if tables.now < row.avoid_until:
         return False
     if row.state is SearcherState.LOST:
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor.feed.messages import (
+    EvacuationsLearnt,
     SearcherLearnt,
     SlowSearchers,
     SuspectsLearnt,
@@ -69,7 +70,8 @@
             now: seconds of a clock that doesn't go back.
             msgs: ``Arrived``, ``CallerGone``, ``AttemptEnded``,
                 ``AnswerLeft``, ``SearcherLearnt``, ``SlowSearchers``,
-                ``ProbeEnded``, ``SuspectsLearnt``, ``TrialDecided``.
+                ``EvacuationsLearnt``, ``ProbeEnded``, ``SuspectsLearnt``,
+                ``TrialDecided``.
 
         Returns:
             ``StartAttempt``, ``CancelAttempt``, ``CloseIdle``, ``Respond``,
@@ -149,6 +151,8 @@
                 self._take_ended(ended_msg)
         elif isinstance(msg, SlowSearchers):
             searchers.take_slow(self.tables, msg)
+        elif isinstance(msg, EvacuationsLearnt):
+            searchers.take_evacuations(self.tables, msg)
         elif isinstance(msg, ProbeEnded):
             evidence.take_probed(self.tables, msg.searcher, refused=msg.refused)
         elif isinstance(msg, SuspectsLearnt):
--- a/greengagemoor/forward/entrydecider.py
+++ b/greengagemoor/forward/entrydecider.py
@@ -26,6 +26,7 @@
     feed.SearcherLearnt,
     feed.SlowSearchers,
     feed.SuspectsLearnt,
+    feed.EvacuationsLearnt,
     TrialDecided,
 )
 _FOR_CLAIMS = (TrialWanted, TrialUnused)
--- a/greengagemoor/forward/searchers.py
+++ b/greengagemoor/forward/searchers.py
@@ -15,7 +15,11 @@
 from greengagemoor.forward.tables import Searcher
 
 if TYPE_CHECKING:
-    from greengagemoor.feed.messages import SearcherRow, SlowSearchers
+    from greengagemoor.feed.messages import (
+        EvacuationsLearnt,
+        SearcherRow,
+        SlowSearchers,
+    )
     from greengagemoor.forward.tables import Tables
 
 
@@ -97,6 +101,22 @@
             searcher.slow_until = tables.now + msg.for_s
 
 
+def take_evacuations(tables: Tables, msg: EvacuationsLearnt) -> None:
+    """Notes which data centres are evacuated.
+
+    What runs there ends in peace. Kept connections go: as long as one stands,
+    its searcher counts it against its cap.
+    """
+    before = tables.evacuated
+    tables.evacuations.take(msg.rows)
+    tables.evacuated = tables.evacuations.active
+    tables.out += [
+        CloseIdle(row.address)
+        for row in tables.searchers.values()
+        if row.data_centre in tables.evacuated - before
+    ]
+
+
 def set_caps(tables: Tables) -> None:
     """Takes in changed caps, or another number of entries."""
     for searcher in tables.searchers.values():
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from greengagemoor.control.evacuations import EvacuationView
 from greengagemoor.feed.messages import SearcherKey, SearcherState
 from greengagemoor.feed.suspects import SuspectTable
 from greengagemoor.forward.budget import SendBudget
@@ -212,6 +213,7 @@
             may fire late, or ``now``.
         possible_ends: searchers that broke off a send and may have ended.
         recent_ends: those that did, latest last.
+        evacuated: data centres whose searchers get nothing.
         recent_suspects: requests that became suspect, and when.
         unreported: requests whose rows control has not been told, and whether
             it knew of them before.
@@ -244,6 +246,8 @@
     recent_suspects: deque[tuple[float, bytes]] = attrs.field(
         factory=lambda: deque(maxlen=RECENT_ENDS)
     )
+    evacuations: EvacuationView = attrs.field(factory=EvacuationView)
+    evacuated: frozenset[str] = frozenset()
     unreported: dict[bytes, bool] = attrs.field(factory=dict)
     to_review: set[bytes] = attrs.field(factory=set)
     trials: dict[bytes, Trial] = attrs.field(factory=dict)
--- a/greengagemoor/platform/boot.py
+++ b/greengagemoor/platform/boot.py
@@ -13,6 +13,7 @@
 
 BOOT_VARIABLE = "GREENGAGEMOOR_BOOT"
 CALLER_ADDRESS = "listen-addrs.front"
+ZONE_PREFIX = "zones."
 METRICS_PORT = 9464
 """As in the deploy file, which names it to the platform."""
 DEFAULT_PATH = "/etc/greengagemoor/boot.conf"
@@ -83,4 +84,9 @@
         retry_ratio=float(fields.get("bounds.retry-budget-ratio", "0.2")),
         retry_slack=float(fields.get("bounds.retry-budget-slack", "20")),
         retry_window_s=float(fields.get("bounds.budget-window-s", "10")),
+        data_centres=tuple(
+            key.removeprefix(ZONE_PREFIX)
+            for key in fields
+            if key.startswith(ZONE_PREFIX)
+        ),
     )
--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -5,7 +5,7 @@
 import json
 import re
 from typing import TYPE_CHECKING, Any
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 from greengagemoor.errors import InvalidInputError
 from greengagemoor.feed.messages import SearcherRow, SearcherState
@@ -56,6 +56,7 @@
 SECONDS_VALID = 5
 MOST_ADDRESSES = 64
 INSTANCE_CALL = re.compile(r"/v1/instances/([^/]+)/(heartbeat|leave)")
+EVACUATION_CALL = re.compile(r"/v1/evacuation/([^/]+)/(start|finish)")
 JSON_TYPE = ((b"Content-Type", b"application/json"),)
 SAID_STATES = {
     "ready": SearcherState.READY,
@@ -168,8 +169,14 @@
             return d.ReadCall()
         if call == ("GET", "/v1/resolve"):
             return d.FindEntriesCall(parse_qs(req.query).get("zone", [""])[0])
+        if req.method != "POST":
+            return None
+        match = EVACUATION_CALL.fullmatch(req.path)
+        if match is not None:
+            # The platform's zone is our data centre.
+            return d.EvacuateCall(unquote(match[1]), match[2] == "start")
         match = INSTANCE_CALL.fullmatch(req.path)
-        if match is None or req.method != "POST":
+        if match is None:
             return None
         if match[2] == "leave":
             return d.LeaveCall(match[1], _read_leaving_start(req.body))
@@ -185,9 +192,11 @@
 
     def write_put(self, accepted: bool, faults: str = "") -> Reply:
         """Acknowledged, invalid, or to be sent again."""
-        if faults:
-            return _json(400, {"error": faults})
-        return _json(200, {}) if accepted else Reply(503, _retry_after(0.1))
+        return _write_order(accepted, faults)
+
+    def write_evacuated(self, accepted: bool, fault: str = "") -> Reply:
+        """Acknowledged, invalid, or to be sent again."""
+        return _write_order(accepted, fault)
 
     def write_document(self, text: bytes | None) -> Reply:
         """The document as it was put."""
@@ -207,6 +216,12 @@
         return Reply(400)
 
 
+def _write_order(accepted: bool, fault: str) -> Reply:
+    if fault:
+        return _json(400, {"error": fault})
+    return _json(200, {}) if accepted else Reply(503, _retry_after(0.1))
+
+
 def _json(status: int, value: Any) -> Reply:
     return Reply(status, JSON_TYPE, json.dumps(value).encode())
 
--- a/greengagemoor/serving/beliefs.py
+++ b/greengagemoor/serving/beliefs.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterable
 
     from greengagemoor.control.decider import ControlDecider
+    from greengagemoor.control.evacuations import Evacuation
     from greengagemoor.serving.dialect import CallerWords
 
 STANDINGS_PER_S = 5.0
@@ -64,10 +65,23 @@
         _tell_slow(msg)
     elif isinstance(msg, feed.DifferenceRefused):
         _tell_refused(msg)
+    elif isinstance(msg, feed.EvacuationsLearnt):
+        tell_evacuations(msg.rows)
     elif isinstance(msg, feed.ReadyChanged):
         log.event("ready", ready=msg.ready, document=document)
 
 
+def tell_evacuations(rows: Iterable[Evacuation]) -> None:
+    """Tells which data centres are evacuated from now on, or no more."""
+    for row in rows:
+        log.event(
+            "evacuation",
+            data_centre=row.data_centre,
+            active=row.active,
+            number=row.number,
+        )
+
+
 class StandingLog:
     """Tells what a process thinks of requests, within a budget of lines.
 
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -13,8 +13,7 @@
 from greengagemoor.aio.requests import Limits
 from greengagemoor.aio.server import HttpServer
 from greengagemoor.control import messages as control
-from greengagemoor.control.client import Ask, ControlClient, Done
-from greengagemoor.control.commands import PutDocument
+from greengagemoor.control.client import ControlClient, Done
 from greengagemoor.control.decider import ControlDecider
 from greengagemoor.control.joinmessages import SeedsChanged
 from greengagemoor.control.state import Timing
@@ -22,7 +21,6 @@
 from greengagemoor.feed import messages as feed
 from greengagemoor.feed.hub import Hub
 from greengagemoor.feed.timing import Timing as HubTiming
-from greengagemoor.routing import routes
 from greengagemoor.serving import dialect as calls
 from greengagemoor.serving import inboxes, opencalls
 from greengagemoor.serving.beliefs import Beliefs, StandingLog
@@ -30,6 +28,7 @@
 from greengagemoor.serving.keeping import Keeper
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.opencalls import BadCalls, OpenCalls
+from greengagemoor.serving.operators import EvacuationPage, OperatorCalls
 from greengagemoor.serving.quarantine import QuarantinePage
 from greengagemoor.serving.ticker import Ticker
 from greengagemoor.shell import group_notes
@@ -41,8 +40,6 @@
     from greengagemoor.serving.dialect import Dialect
     from greengagemoor.serving.settings import ServingSettings
 
-ASK_S = 0.9
-"""Operators turn to another instance after a second."""
 HEARTBEAT_S = 0.15
 ELECTION_S = 0.6
 """Four heartbeats; a dead leader is replaced within two seconds."""
@@ -74,7 +71,10 @@
         self._standing_log = StandingLog()
         self._followed: dict | None = None
         self._contacts: dict[str, str] = {}
-        self._calls = OpenCalls(dialect)
+        self._calls = OpenCalls()
+        self._operators = OperatorCalls(
+            cfg, dialect, self._calls, self._ticker.put, self.clock.now
+        )
         self._bad_calls = BadCalls()
         self._metrics = ServingMetrics(self._gauges)
         servers = {cfg.control_address, cfg.directory_address} - {""}
@@ -85,8 +85,9 @@
             page = QuarantinePage(
                 self._metrics, self._hub.suspects.table, self._ticker.put
             )
+            pages = EvacuationPage(page, self._operators)
             self._servers.append(
-                HttpServer(cfg.metrics_address, page, Limits())
+                HttpServer(cfg.metrics_address, pages, Limits())
             )
 
     async def start(self) -> None:
@@ -116,11 +117,12 @@
             ),
             founders=opened.founders,
         )
+        self._operators.decider = self._decider
         self._ticker.put(opened.recovered)
 
     def reload(self, cfg: ServingSettings) -> None:
         """Takes in changed settings, and dials the seeds that they name."""
-        self.cfg = cfg
+        self.cfg = self._operators.cfg = cfg
         self._links.want({*cfg.seeds, *self._contacts.values()})
         self._ticker.put(SeedsChanged(cfg.other_seeds))
 
@@ -150,9 +152,11 @@
                 )
             )
         elif isinstance(call, calls.PutCall):
-            self._take_put(req, call)
+            self._operators.take_put(req, call)
         elif isinstance(call, calls.ReadCall):
-            self._ask(req, control.OpKind.READ_NUMBERED)
+            self._operators.take_read(req)
+        elif isinstance(call, calls.EvacuateCall):
+            self._operators.take_evacuate(req, call)
         elif isinstance(call, calls.FindEntriesCall):
             entries = self._hub.entries_for_caller()
             opencalls.answer(req, self._dialect.write_entries(entries))
@@ -163,29 +167,6 @@
         """Forgets a caller that left; what it asked for goes on."""
         self._calls.forget(req)
 
-    def _take_put(self, req: HttpRequest, call: calls.PutCall) -> None:
-        try:
-            table = self._dialect.read_document(call.body)
-            routes.check(table)
-        except DocumentError as exc:
-            faults = "; ".join(exc.faults[:5])
-            log.event("document_refused", faults=faults)
-            opencalls.answer(req, self._dialect.write_put(False, faults))
-            return
-        packed = zlib.compress(call.body, 6)
-        command = PutDocument(table.version, packed, 0.0)
-        self._ask(req, control.OpKind.PUT, command)
-
-    def _ask(
-        self,
-        req: HttpRequest,
-        kind: control.OpKind,
-        command: PutDocument | None = None,
-    ) -> None:
-        deadline = self.clock.now() + ASK_S
-        token = self._calls.open(req)
-        self._ticker.put(Ask(token, kind, deadline, command))
-
     # Ticks.
 
     def _tick(self, now: float, msgs: list) -> float | None:
@@ -224,6 +205,8 @@
         elif isinstance(msg, control.NumberedAccepted):
             self._note_services(msg)
             inbox.append(msg)
+        elif isinstance(msg, control.EvacuationsAccepted):
+            inbox.append(msg)
         elif isinstance(msg, feed.AnnouncementTaken):
             reply = self._dialect.write_announced(self.cfg.control_address)
             self._calls.answer(msg.token, reply)
@@ -289,5 +272,5 @@
         stayed silent for ever would be one loss fewer to bear.
         """
         log.event("member_restarts", level="ERROR")
-        self._decider = None
+        self._decider = self._operators.decider = None
         asyncio.get_running_loop().create_task(self._recover())
--- a/greengagemoor/serving/dialect.py
+++ b/greengagemoor/serving/dialect.py
@@ -80,6 +80,18 @@
     """An operator reads the document in force."""
 
 
+@values.frozen
+class EvacuateCall:
+    """An operator evacuates a data centre, or takes that back.
+
+    Attributes:
+        active: whether its searchers are to get nothing.
+    """
+
+    data_centre: str
+    active: bool
+
+
 @values.frozen
 class FindEntriesCall:
     """A caller asks where to connect."""
@@ -87,7 +99,14 @@
     data_centre: str
 
 
-Call = AnnounceCall | LeaveCall | PutCall | ReadCall | FindEntriesCall
+Call = (
+    AnnounceCall
+    | LeaveCall
+    | PutCall
+    | ReadCall
+    | EvacuateCall
+    | FindEntriesCall
+)
 
 
 class Dialect(Protocol):
@@ -142,6 +161,9 @@
     def write_put(self, accepted: bool, faults: str = "") -> Reply:
         """Answers a put: accepted, or refused for its faults, or unknown."""
 
+    def write_evacuated(self, accepted: bool, fault: str = "") -> Reply:
+        """Answers an evacuation: accepted, refused for a fault, or unknown."""
+
     def write_document(self, text: bytes | None) -> Reply:
         """Answers a read; None if it isn't sure what is in force."""
 
--- a/greengagemoor/serving/inboxes.py
+++ b/greengagemoor/serving/inboxes.py
@@ -22,6 +22,7 @@
     feed.LinkUp,
     feed.LinkDown,
     control.NumberedAccepted,
+    control.EvacuationsAccepted,
     feed.ClearSuspect,
 )
 
--- a/greengagemoor/serving/opencalls.py
+++ b/greengagemoor/serving/opencalls.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
-import zlib
 from itertools import count
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
-from greengagemoor.codes import Code
-from greengagemoor.control.messages import OpKind
 from greengagemoor.util.linebudget import LineBudget
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.control.client import Done
-    from greengagemoor.serving.dialect import Dialect, Reply
+    from greengagemoor.control.messages import OpReply
+    from greengagemoor.serving.dialect import Reply
 
 BAD_CALLS_PER_S = 1.0
 BAD_CALLS_BURST = 10.0
@@ -26,25 +26,30 @@
 class OpenCalls:
     """Calls by token, until each has its answer."""
 
-    def __init__(self, dialect: Dialect):
-        """Starts without calls.
-
-        Args:
-            dialect: writes the answers.
-        """
-        self._dialect = dialect
+    def __init__(self):
         self._tokens = count(1)
         self._waiting: dict[int, HttpRequest] = {}
+        self._writers: dict[int, Callable[[OpReply], Reply]] = {}
+
+    def open(
+        self, req: HttpRequest, write: Callable[[OpReply], Reply] | None = None
+    ) -> int:
+        """Returns the token under which the call waits.
 
-    def open(self, req: HttpRequest) -> int:
-        """Returns the token under which the call waits."""
+        Args:
+            req: the call.
+            write: writes the answer, for an operation of the control group.
+        """
         req.token = next(self._tokens)
         self._waiting[req.token] = req
+        if write is not None:
+            self._writers[req.token] = write
         return req.token
 
     def forget(self, req: HttpRequest) -> None:
         """Forgets a call whose caller left."""
         self._waiting.pop(req.token, None)
+        self._writers.pop(req.token, None)
 
     def answer(self, token: int, reply: Reply) -> None:
         """Answers a call, if its caller is still there."""
@@ -61,14 +66,9 @@
             code=int(code),
             version=msg.reply.version,
         )
-        if msg.kind is OpKind.PUT:
-            reply = self._dialect.write_put(code == Code.ACCEPTED)
-        elif code == Code.CURRENT and msg.reply.packed:
-            text = zlib.decompress(msg.reply.packed)
-            reply = self._dialect.write_document(text)
-        else:
-            reply = self._dialect.write_document(None)
-        self.answer(msg.token, reply)
+        write = self._writers.pop(msg.token, None)
+        if write is not None:
+            self.answer(msg.token, write(msg.reply))
 
 
 def answer(req: HttpRequest, reply: Reply) -> None:
--- /dev/null
+++ b/greengagemoor/serving/operators.py
@@ -0,0 +1,229 @@
+"""Operators' calls that the control group decides."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from typing import TYPE_CHECKING, Any
+
+from greengagemoor import log
+from greengagemoor.codes import CODE_TABLE, Code
+from greengagemoor.control.client import Ask
+from greengagemoor.control.commands import PutDocument, SetEvacuation
+from greengagemoor.control.messages import OpKind
+from greengagemoor.errors import DocumentError
+from greengagemoor.routing import routes
+from greengagemoor.serving import dialect as calls
+from greengagemoor.serving import opencalls
+from greengagemoor.serving.dialect import Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagemoor.aio.requests import Handler, HttpRequest
+    from greengagemoor.control.decider import ControlDecider
+    from greengagemoor.control.messages import OpReply
+    from greengagemoor.serving.dialect import Dialect
+    from greengagemoor.serving.opencalls import OpenCalls
+    from greengagemoor.serving.settings import ServingSettings
+
+ASK_S = 0.9
+"""Operators turn to another instance after a second."""
+EVACUATIONS_PATH = "/evacuations"
+MOST_FAULTS = 5
+JSON_TYPE = ((b"Content-Type", b"application/json"),)
+
+
+class OperatorCalls:
+    """Puts and reads the document, and evacuates data centres."""
+
+    def __init__(
+        self,
+        cfg: ServingSettings,
+        dialect: Dialect,
+        open_calls: OpenCalls,
+        put: Callable[[object], None],
+        now: Callable[[], float],
+    ):
+        """Prepares.
+
+        Args:
+            cfg: settings.
+            dialect: reads documents and writes answers.
+            open_calls: keeps each call until it is answered.
+            put: takes ``Ask``.
+            now: seconds of the clock of ``Ask``.
+        """
+        self.cfg = cfg
+        self.decider: ControlDecider | None = None
+        self._dialect = dialect
+        self._calls = open_calls
+        self._put = put
+        self._now = now
+
+    def take_put(self, req: HttpRequest, call: calls.PutCall) -> None:
+        """Puts a document, if it is valid."""
+        try:
+            table = self._dialect.read_document(call.body)
+            routes.check(table)
+        except DocumentError as exc:
+            faults = "; ".join(exc.faults[:MOST_FAULTS])
+            log.event("document_refused", faults=faults)
+            opencalls.answer(req, self._dialect.write_put(False, faults))
+            return
+        packed = zlib.compress(call.body, 6)
+        command = PutDocument(table.version, packed, 0.0)
+        self._ask(req, OpKind.PUT, self._write_put, command)
+
+    def take_read(self, req: HttpRequest) -> None:
+        """Reads the document in force."""
+        self._ask(req, OpKind.READ_NUMBERED, self._write_read)
+
+    def take_evacuate(self, req: HttpRequest, call: calls.EvacuateCall) -> None:
+        """Evacuates a data centre, or takes that back."""
+        fault = self.fault_of(call.data_centre)
+        if fault:
+            opencalls.answer(req, self._dialect.write_evacuated(False, fault))
+        else:
+            self.evacuate(req, call, self._write_evacuated)
+
+    def fault_of(self, data_centre: str) -> str:
+        """Returns what is wrong with a data centre's name, '' if nothing."""
+        known = self.cfg.data_centres
+        if not known or data_centre in known:
+            return ""
+        fault = f"no data centre {data_centre!r}; there are {', '.join(known)}"
+        log.event("evacuation_refused", fault=fault)
+        return fault
+
+    def evacuate(
+        self,
+        req: HttpRequest,
+        call: calls.EvacuateCall,
+        write: Callable[[OpReply], Reply],
+    ) -> None:
+        """Gives the order to the control group.
+
+        Args:
+            req: the call.
+            call: what is wanted; the data centre is known.
+            write: writes the answer.
+        """
+        number = 0
+        if self.decider is not None:
+            table = self.decider.state.machine.evacuations
+            number = table.number_of(call.data_centre)
+        command = SetEvacuation(call.data_centre, call.active, number, 0.0)
+        self._ask(req, OpKind.EVACUATE, write, command)
+
+    def read(self, req: HttpRequest, write: Callable[[OpReply], Reply]) -> None:
+        """Reads what a quorum confirms.
+
+        Args:
+            req: the call.
+            write: writes the answer.
+        """
+        self._ask(req, OpKind.READ_NUMBERED, write)
+
+    def forget(self, req: HttpRequest) -> None:
+        """Forgets a call whose operator left; what it asked for goes on."""
+        self._calls.forget(req)
+
+    def _ask(
+        self,
+        req: HttpRequest,
+        kind: OpKind,
+        write: Callable[[OpReply], Reply],
+        command: PutDocument | SetEvacuation | None = None,
+    ) -> None:
+        token = self._calls.open(req, write)
+        self._put(Ask(token, kind, self._now() + ASK_S, command))
+
+    def _write_put(self, reply: OpReply) -> Reply:
+        return self._dialect.write_put(reply.code == Code.ACCEPTED)
+
+    def _write_read(self, reply: OpReply) -> Reply:
+        if reply.code == Code.CURRENT and reply.packed:
+            return self._dialect.write_document(zlib.decompress(reply.packed))
+        return self._dialect.write_document(None)
+
+    def _write_evacuated(self, reply: OpReply) -> Reply:
+        return self._dialect.write_evacuated(reply.code == Code.ACCEPTED)
+
+
+class EvacuationPage:
+    """The product's own calls; all other paths go to the next handler.
+
+    ``GET /evacuations`` lists what a quorum confirms, and ``POST /evacuations``
+    with ``{"data_centre": "...", "active": true}`` evacuates a data centre or,
+    with ``false``, takes that back.
+    """
+
+    def __init__(self, following: Handler, operators: OperatorCalls):
+        """Prepares.
+
+        Args:
+            following: answers all other paths.
+            operators: asks the control group.
+        """
+        self._following = following
+        self._operators = operators
+
+    def take(self, req: HttpRequest) -> None:
+        """Answers a call, or has it answered."""
+        if req.path != EVACUATIONS_PATH:
+            self._following.take(req)
+        elif req.method == "GET":
+            self._operators.read(req, _write_rows)
+        elif req.method == "POST":
+            self._evacuate(req)
+        else:
+            opencalls.answer(req, _json(405, {"error": "GET or POST"}))
+
+    def gone(self, req: HttpRequest) -> None:
+        """Forgets a call whose operator left; an order goes on."""
+        self._operators.forget(req)
+        self._following.gone(req)
+
+    def _evacuate(self, req: HttpRequest) -> None:
+        try:
+            body = json.loads(req.body)
+            call = calls.EvacuateCall(body["data_centre"], body["active"])
+            if not isinstance(call.data_centre, str):
+                raise TypeError("data_centre is no text")
+            if not isinstance(call.active, bool):
+                raise TypeError("active is neither true nor false")
+        except (ValueError, KeyError, TypeError) as exc:
+            opencalls.answer(req, _json(400, {"error": f"order: {exc!r}"}))
+            return
+        fault = self._operators.fault_of(call.data_centre)
+        if fault:
+            opencalls.answer(req, _coded(Code.INVALID, {"error": fault}))
+        else:
+            self._operators.evacuate(req, call, _write_ordered)
+
+
+def _write_rows(reply: OpReply) -> Reply:
+    rows = [
+        {
+            "data_centre": row.data_centre,
+            "active": row.active,
+            "number": row.number,
+        }
+        for row in reply.evacuations
+    ]
+    return _coded(Code(reply.code), {"evacuations": rows})
+
+
+def _write_ordered(reply: OpReply) -> Reply:
+    return _coded(Code(reply.code), {"number": reply.version})
+
+
+def _coded(code: Code, body: dict[str, Any]) -> Reply:
+    info = CODE_TABLE[code]
+    words = {"code": int(code), "meaning": info.meaning}
+    return _json(info.http_status, {**words, **body})
+
+
+def _json(status: int, body: dict[str, Any]) -> Reply:
+    return Reply(status, JSON_TYPE, json.dumps(body).encode())
--- a/greengagemoor/serving/settings.py
+++ b/greengagemoor/serving/settings.py
@@ -35,6 +35,7 @@
         retry_slack: second sends allowed besides, of all entries to one
             service in each window.
         retry_window_s: length of that window.
+        data_centres: all that there are, () if that isn't told.
     """
 
     instance: str
@@ -58,6 +59,7 @@
     retry_window_s: float = attrs.field(
         default=10.0, validator=in_range(0.1, 3600.0)
     )
+    data_centres: tuple[str, ...] = ()
     seed: int = 0
 
     @property
--- a/greengagemoor/wire/codec.py
+++ b/greengagemoor/wire/codec.py
@@ -41,6 +41,7 @@
         "KnownPeers",
         "NumberedDocument",
         "SuspectRows",
+        "Evacuations",
     }
 )
 SHARED_KEPT = 16
--- a/tests/test_cmd/test_programs.py
+++ b/tests/test_cmd/test_programs.py
@@ -75,19 +75,38 @@
         assert "election_s (1.0)" in result.output
 
 
-class TestQuarantine:
-    """``greengagemoorctl quarantine`` and ``clear``."""
+@pytest.fixture
+def called(monkeypatch):
+    made = []
+
+    def call(at, method, path, body=None):
+        made.append((at, method, path, body))
+        return calls.Reply(200, {"requests": []}, "")
 
-    @pytest.fixture
-    def called(self, monkeypatch):
-        made = []
+    monkeypatch.setattr(calls, "call", call)
+    return made
 
-        def call(at, method, path, body=None):
-            made.append((at, method, path, body))
-            return calls.Reply(200, {"requests": []}, "")
 
-        monkeypatch.setattr(calls, "call", call)
-        return made
+class TestEvacuations:
+    """``greengagemoorctl evacuate``, ``restore`` and ``evacuations``."""
+
+    @pytest.mark.parametrize(
+        ("command", "active"), [("evacuate", True), ("restore", False)]
+    )
+    def test_order(self, called, command, active):
+        result = RUNNER.invoke(ctl.app, [command, "dc1", "--at", NOBODY])
+        assert result.exit_code == 0
+        body = {"data_centre": "dc1", "active": active}
+        assert called == [(NOBODY, "POST", "/evacuations", body)]
+
+    def test_list(self, called):
+        result = RUNNER.invoke(ctl.app, ["evacuations", "--at", NOBODY])
+        assert result.exit_code == 0
+        assert called == [(NOBODY, "GET", "/evacuations", None)]
+
+
+class TestQuarantine:
+    """``greengagemoorctl quarantine`` and ``clear``."""
 
     def test_list(self, called):
         result = RUNNER.invoke(ctl.app, ["quarantine", "--at", NOBODY])
--- /dev/null
+++ b/tests/test_control/test_evacuations.py
@@ -0,0 +1,277 @@
+"""Evacuations of data centres, kept by the control group."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+)
+
+from greengagemoor.codes import Code
+from greengagemoor.control.client import Ask
+from greengagemoor.control.commands import PutDocument, SetEvacuation
+from greengagemoor.control.evacuations import Evacuation, EvacuationView
+from greengagemoor.control.evacuationtable import EvacuationTable
+from greengagemoor.control.machine import Machine
+from greengagemoor.control.messages import OpKind, OpRequest, Received
+from greengagemoor.serving.operators import ASK_S
+from tests.test_control.helpers import (
+    GROUP,
+    Operator,
+    is_whole,
+    others,
+    start_group,
+)
+
+PLACES = ("dc1", "dc2")
+WAIT_S = 5.0
+
+
+class Evacuator(Operator):
+    """Gives orders and reads what holds."""
+
+    def give(self, at, place, *, active, wait=WAIT_S):
+        """Gives an order; its result is under the returned token."""
+        token = f"{place}:{active}@{at}/{self.fleet.now}"
+        table = self.fleet.nodes[at].control.state.machine.evacuations
+        number = table.number_of(place)
+        command = SetEvacuation(place, active, number, 0.0)
+        deadline = self.fleet.now + wait
+        self._ask(at, Ask(token, OpKind.EVACUATE, deadline, command))
+        return token
+
+    def order(self, at, place, *, active, wait=WAIT_S):
+        """Gives an order and waits; tells whether it was acknowledged."""
+        token = self.give(at, place, active=active, wait=wait)
+        return self.wait(token).reply.code == Code.ACCEPTED
+
+    def active(self, at, wait=WAIT_S):
+        """Returns what a quorum confirms; None if none does in time."""
+        token = f"list@{at}/{self.fleet.now}"
+        deadline = self.fleet.now + wait
+        self._ask(at, Ask(token, OpKind.READ_NUMBERED, deadline))
+        reply = self.wait(token).reply
+        if reply.code != Code.CURRENT:
+            return None
+        return {row.data_centre for row in reply.evacuations if row.active}
+
+
+@pytest.fixture
+def operator(fleet):
+    return Evacuator(fleet)
+
+
+def restart(fleet, names, *, wipe=False):
+    for name in names:
+        fleet.kill(name)
+        if wipe:
+            fleet.lose_disk(name)
+    for name in names:
+        fleet.start(name)
+
+
+class TestTable:
+    """The replicated state machine alone."""
+
+    def set(self, table, active, replaces):
+        return table.set(SetEvacuation("dc1", active, replaces, 0.0))
+
+    def test_start_and_finish(self):
+        table = EvacuationTable()
+        assert self.set(table, True, 0).code is Code.ACCEPTED
+        assert table.rows() == (Evacuation("dc1", 1, True),)
+        assert self.set(table, False, 1).code is Code.ACCEPTED
+        assert table.rows() == (Evacuation("dc1", 2, False),)
+
+    def test_held_up_order_does_not_undo_a_later_one(self):
+        """Guards against a zone that stays evacuated by an old start."""
+        table = EvacuationTable()
+        self.set(table, True, 0)
+        self.set(table, False, 1)
+        assert self.set(table, True, 0).code is Code.CONFLICT
+        assert not table.rows()[0].active
+
+    def test_finish_voids_a_start_that_was_never_applied(self):
+        """Guards against a start that comes after its end changed nothing."""
+        table = EvacuationTable()
+        assert self.set(table, False, 0).code is Code.ACCEPTED
+        assert self.set(table, True, 0).code is Code.CONFLICT
+
+    def test_snapshot(self):
+        machine = Machine()
+        machine.apply(SetEvacuation("dc1", True, 0, 1.0))
+        machine.apply(PutDocument(3, b"packed", 2.0))
+        other = Machine()
+        other.load(machine.save())
+        assert other.evacuations.rows() == (Evacuation("dc1", 1, True),)
+        assert other.numbered.number == 3
+
+
+class TestView:
+    """What a process that is told of evacuations believes."""
+
+    def test_order_of_words_does_not_matter(self):
+        rows = (Evacuation("dc1", 1, True), Evacuation("dc1", 2, False))
+        view = EvacuationView()
+        assert view.take(reversed(rows)) == rows[1:]
+        assert view.active == frozenset()
+        assert view.take(rows) == ()
+
+
+class TestGroup:
+    """Orders at a group of three."""
+
+    def test_orders_are_in_force_at_all(self, fleet, operator):
+        assert operator.order("c1", "dc1", active=True)
+        assert operator.order("c2", "dc2", active=True)
+        assert operator.active("c3") == {"dc1", "dc2"}
+        assert operator.order("c3", "dc1", active=False)
+        assert operator.active("c1") == {"dc2"}
+
+    def test_resent_order(self, fleet, operator):
+        for at in GROUP:
+            assert operator.order(at, "dc1", active=True)
+        assert operator.active("c1") == {"dc1"}
+
+    def test_two_operators_at_once(self, fleet, operator):
+        """Guards against an order that its race makes void."""
+        tokens = [
+            operator.give(at, "dc1", active=active)
+            for at, active in zip(GROUP, (True, False, True), strict=True)
+        ]
+        codes = {operator.wait(token).reply.code for token in tokens}
+        assert codes == {Code.ACCEPTED}
+
+    def test_leader_that_is_cut_off(self, fleet, operator):
+        """Guards against an order that only a lost leader ever had."""
+        leader = fleet.leader()
+        fleet.cut_off(leader)
+        lost = operator.give(leader, "dc1", active=True, wait=ASK_S)
+        fleet.run(1.0)
+        other = others(leader)[0]
+        assert operator.order(other, "dc1", active=True, wait=10.0)
+        assert operator.order(other, "dc1", active=False)
+        fleet.heal()
+        fleet.run(1.0)
+        assert operator.result(lost).reply.code != Code.ACCEPTED
+        assert operator.active("c1") == set()
+
+    def test_held_up_request(self, fleet, operator):
+        """Guards against a copy on a link that outlives the order's end."""
+        leader = fleet.leader()
+        command = SetEvacuation("dc1", True, 0, 0.0)
+        copy = OpRequest(9_999, OpKind.EVACUATE, command)
+        assert operator.order(leader, "dc1", active=True)
+        assert operator.order(leader, "dc1", active=False)
+        fleet.put(leader, Received(others(leader)[0], copy))
+        fleet.run(1.0)
+        assert operator.active(leader) == set()
+
+    def test_kill_of_everything(self, fleet, operator):
+        assert operator.order("c1", "dc1", active=True)
+        restart(fleet, GROUP)
+        fleet.run_until(lambda: is_whole(fleet))
+        assert operator.active("c2") == {"dc1"}
+
+    def test_lost_disk(self, fleet, operator):
+        assert operator.order("c1", "dc1", active=True)
+        restart(fleet, [fleet.leader()], wipe=True)
+        fleet.run_until(lambda: is_whole(fleet))
+        assert operator.active("c1") == {"dc1"}
+
+
+class EvacuationMachine(RuleBasedStateMachine):
+    """Orders while instances and the network fail; none is ever forgotten."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = start_group()
+        self.operator = Evacuator(self.fleet)
+        self.may_hold = {place: {False} for place in PLACES}
+
+    @rule(
+        at=st.sampled_from(GROUP),
+        place=st.sampled_from(PLACES),
+        active=st.booleans(),
+        wait=st.sampled_from([0.3, 0.9, 3.0]),
+    )
+    def order(self, at, place, active, wait):
+        if at not in self.fleet.nodes or at in self.fleet.frozen:
+            return
+        if self.operator.order(at, place, active=active, wait=wait):
+            self.may_hold[place] = {active}
+        else:
+            self.may_hold[place] |= {active}
+
+    @rule(at=st.sampled_from(GROUP))
+    def read(self, at):
+        if at in self.fleet.nodes and at not in self.fleet.frozen:
+            self.check(self.operator.active(at, wait=0.9))
+
+    def check(self, active):
+        if active is None:
+            return
+        for place in PLACES:
+            assert (place in active) in self.may_hold[place]
+
+    @rule(seconds=st.sampled_from([0.05, 0.7, 3.0]))
+    def run(self, seconds):
+        self.fleet.run(seconds)
+
+    @rule(name=st.sampled_from(GROUP), one_way=st.booleans())
+    def cut_off(self, name, one_way):
+        self.fleet.cut_off(name, one_way=one_way)
+
+    @rule()
+    def heal(self):
+        self.fleet.heal()
+
+    @rule(drop=st.sampled_from([0.0, 0.2]), double=st.sampled_from([0.0, 0.3]))
+    def disturb(self, drop, double):
+        self.fleet.drop_share = drop
+        self.fleet.double_share = double
+        self.fleet.jitter = 0.05 if double else 0.0
+
+    @rule(name=st.sampled_from(GROUP))
+    def kill_and_start(self, name):
+        if name in self.fleet.nodes:
+            self.fleet.kill(name)
+        else:
+            self.fleet.start(name)
+
+    @rule()
+    def kill_all(self):
+        restart(self.fleet, [n for n in GROUP if n in self.fleet.nodes])
+
+    @precondition(lambda self: is_whole(self.fleet))
+    @rule(name=st.sampled_from(GROUP))
+    def lose_disk(self, name):
+        """Loses one disk; the next only after the group is whole again."""
+        restart(self.fleet, [name], wipe=True)
+
+    def teardown(self):
+        """After all faults end, what was acknowledged holds."""
+        self.fleet.drop_share = self.fleet.double_share = 0.0
+        self.fleet.jitter = 0.0
+        self.fleet.heal()
+        for name in GROUP:
+            if name not in self.fleet.nodes:
+                self.fleet.start(name)
+        self.fleet.run_until(lambda: is_whole(self.fleet), most=120.0)
+        active = self.operator.active("c1")
+        assert active is not None
+        self.check(active)
+
+
+TestEvacuationMachine = EvacuationMachine.TestCase
+TestEvacuationMachine.settings = settings(
+    max_examples=60,
+    stateful_step_count=25,
+    derandomize=True,
+    deadline=None,
+    phases=(Phase.generate,),
+)
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -32,6 +32,8 @@
 internal-port-range=7740,7755
 seed-addrs=10.1.0.2:8224,10.2.0.3:8224
 bootstrap=true
+zones.dc1=here
+zones.dc2=here
 heartbeat-ms=1200
 bounds.grace-s=6
 bounds.retry-budget-ratio=0.2
@@ -97,6 +99,7 @@
         assert cfg.seeds == ("10.1.0.2:7740", "10.2.0.3:7740")
         assert cfg.new_group
         assert cfg.announce_s == 1.2
+        assert cfg.data_centres == ("dc1", "dc2")
 
     @pytest.mark.parametrize(
         "text",
@@ -312,6 +315,22 @@
         ) == calls.FindEntriesCall("dc1")
         assert self.read("GET", "/v1/config/replace") is None
 
+    @pytest.mark.parametrize(
+        ("order", "active"), [("start", True), ("finish", False)]
+    )
+    def test_evacuation(self, order, active):
+        call = self.read("POST", f"/v1/evacuation/salle-ain/{order}")
+        assert call == calls.EvacuateCall("salle-ain", active)
+
+    def test_no_evacuation(self):
+        assert self.read("POST", "/v1/evacuation/salle-ain/pause") is None
+        assert self.read("GET", "/v1/evacuation/salle-ain/start") is None
+
+    def test_answer_to_an_evacuation(self):
+        assert DIALECT.write_evacuated(True).status == 200
+        assert DIALECT.write_evacuated(False).status == 503
+        assert DIALECT.write_evacuated(False, "a fault").status == 400
+
     def test_entries(self):
         entry = Subscribe("e", "10.0.0.9:80", "dc1", ready=True)
         reply = DIALECT.write_entries([entry])
--- /dev/null
+++ b/tests/test_serving/test_operators.py
@@ -0,0 +1,169 @@
+"""Operators' calls at a control instance, without sockets."""
+
+from __future__ import annotations
+
+import json
+
+import attrs
+import pytest
+
+from greengagemoor.aio.requests import HttpRequest
+from greengagemoor.codes import Code
+from greengagemoor.control.client import Ask, Done
+from greengagemoor.control.commands import SetEvacuation
+from greengagemoor.control.evacuations import Evacuation
+from greengagemoor.control.messages import OpKind, OpReply
+from greengagemoor.platform.dialect import PlatformDialect
+from greengagemoor.serving.dialect import EvacuateCall
+from greengagemoor.serving.opencalls import OpenCalls
+from greengagemoor.serving.operators import EvacuationPage, OperatorCalls
+from greengagemoor.serving.settings import ServingSettings
+
+PLACES = ("dc1", "dc2")
+
+
+@attrs.define
+class Caller:
+    """Collects the answer to one call."""
+
+    status: int = 0
+    body: bytes = b""
+
+    def reply(self, req, status, headers, body):
+        self.status, self.body = status, body
+
+
+class Metrics:
+    """Stands for the next page."""
+
+    def take(self, req):
+        req.conn.reply(req, 200, (), b"metrics")
+
+    def gone(self, req):
+        pass
+
+
+class Bench:
+    """Operators' calls, with a control group that is asked by hand."""
+
+    def __init__(self, places=PLACES):
+        cfg = ServingSettings(
+            "10.0.0.2", "dc1", "10.0.0.2:7740", (), data_centres=places
+        )
+        self.asks = []
+        self.calls = OpenCalls()
+        self.operators = OperatorCalls(
+            cfg, PlatformDialect(), self.calls, self.asks.append, lambda: 5.0
+        )
+        self.page = EvacuationPage(Metrics(), self.operators)
+
+    def order(self, data_centre, active=True):
+        caller = Caller()
+        req = HttpRequest("POST", "/", [], b"", 0.0, caller)
+        self.operators.take_evacuate(req, EvacuateCall(data_centre, active))
+        return caller
+
+    def call(self, method, path="/evacuations", body=b""):
+        caller = Caller()
+        self.page.take(HttpRequest(method, path, [], body, 0.0, caller))
+        return caller
+
+    def end(self, code, **more):
+        (ask,) = self.asks
+        reply = OpReply(1, code, **more)
+        self.calls.take_done(Done(ask.token, ask.kind, reply))
+
+
+class TestEvacuate:
+    """The platform's order."""
+
+    @pytest.mark.parametrize(
+        ("code", "status"),
+        [
+            (Code.ACCEPTED, 200),
+            (Code.APPLY_UNKNOWN, 503),
+            (Code.NOT_ACCEPTED, 503),
+        ],
+    )
+    def test_answered_when_the_group_has_decided(self, code, status):
+        bench = Bench()
+        caller = bench.order("dc2")
+        assert caller.status == 0
+        (ask,) = bench.asks
+        command = SetEvacuation("dc2", True, 0, 0.0)
+        assert ask == Ask(1, OpKind.EVACUATE, 5.9, command)
+        bench.end(code)
+        assert caller.status == status
+
+    def test_unknown_data_centre(self):
+        bench = Bench()
+        caller = bench.order("dc9")
+        assert caller.status == 400
+        assert b"dc9" in caller.body
+        assert not bench.asks
+
+    def test_any_where_none_are_told(self):
+        bench = Bench(places=())
+        bench.order("dc9")
+        assert len(bench.asks) == 1
+
+    def test_operator_that_left(self):
+        """Guards against an answer on a connection that another has now."""
+        bench = Bench()
+        caller = Caller()
+        req = HttpRequest("POST", "/", [], b"", 0.0, caller)
+        bench.operators.take_evacuate(req, EvacuateCall("dc1", True))
+        bench.operators.forget(req)
+        bench.end(Code.ACCEPTED)
+        assert caller.status == 0
+
+
+class TestPage:
+    """The product's own interface."""
+
+    def test_order(self):
+        bench = Bench()
+        body = json.dumps({"data_centre": "dc1", "active": True}).encode()
+        caller = bench.call("POST", body=body)
+        bench.end(Code.ACCEPTED, version=3)
+        assert caller.status == 200
+        assert json.loads(caller.body)["number"] == 3
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"[]",
+            b'{"data_centre": "dc1"}',
+            b'{"data_centre": 1, "active": true}',
+            b'{"data_centre": "dc1", "active": 1}',
+        ],
+    )
+    def test_malformed(self, body):
+        bench = Bench()
+        assert bench.call("POST", body=body).status == 400
+        assert not bench.asks
+
+    def test_unknown_data_centre(self):
+        body = json.dumps({"data_centre": "dc9", "active": True}).encode()
+        assert Bench().call("POST", body=body).status == 422
+
+    def test_list(self):
+        bench = Bench()
+        caller = bench.call("GET")
+        rows = (Evacuation("dc1", 4, True), Evacuation("dc2", 2, False))
+        bench.end(Code.CURRENT, version=1, evacuations=rows)
+        listed = json.loads(caller.body)["evacuations"]
+        assert [row["active"] for row in listed] == [True, False]
+
+    def test_list_without_a_quorum(self):
+        """Guards against an old list that looks like the current one."""
+        bench = Bench()
+        caller = bench.call("GET")
+        bench.end(Code.NOT_ACCEPTED)
+        assert caller.status == 503
+
+    def test_other_paths_and_methods(self):
+        bench = Bench()
+        assert bench.call("GET", "/metrics").body == b"metrics"
+        assert bench.call("PUT").status == 405
