Cold searchers get no more than they bear, over all entries together

A searcher that turned cold again was not told to entries: only its state, start and address were news.

An entry that may not use any of a shard's refuses at once. Searchers of a data centre whose evacuation ends are taken for cold until the time of their service is over.

--- a/greengagemoor/feed/heard.py
+++ b/greengagemoor/feed/heard.py
@@ -20,6 +20,8 @@
 KEPT_BEATS = 1.8
 """How long a row that was kept over a restart waits for its searcher."""
 JUMP_BEATS = 1.6
+COLD_AGAIN_S = 0.3
+"""More than an announcement's way varies."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -125,11 +127,16 @@
             return True
         if known.row.address != row.address:
             return True
+        if row.cold_left_s > self._cold_left_s(now, known) + COLD_AGAIN_S:
+            return True
         # After a gap, another control instance may have told entries that the
         # searcher is lost, under a sequence above the one told from here.
         gap = now - known.heard_at
         return gap > JUMP_BEATS * self._announce_s
 
+    def _cold_left_s(self, now: float, known: _Heard) -> float:
+        return max(0.0, known.row.cold_left_s - (now - known.heard_at))
+
     def leave(self, now: float, key: SearcherKey) -> None:
         """Takes in that a start of a searcher ends."""
         heard = self._heard.get(key.searcher_id)
--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor.feed.messages import SearcherState, SlowSeen
+from greengagemoor.forward import coldstart
 from greengagemoor.util import values
 
 if TYPE_CHECKING:
@@ -59,7 +60,11 @@
     fit = [
         row for row in rows if row not in leg.asked and is_usable(tables, row)
     ]
-    free = [row for row in fit if len(row.attempts) < row.cap]
+    free = [
+        row
+        for row in fit
+        if len(row.attempts) < row.cap and coldstart.has_turn(tables, row)
+    ]
     if not free:
         return None
     median = tables.times_of(leg.request.route).median
@@ -73,6 +78,8 @@
         return False
     if row.data_centre in tables.evacuated:
         return False
+    if not coldstart.may_use(tables, row):
+        return False
     if tables.now < row.avoid_until:
         return False
     if row.state is SearcherState.LOST:
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -52,7 +52,11 @@
     """Places, repeats and merges; see ``forward.messages`` for its words."""
 
     def __init__(
-        self, data_centre: str, rng: random.Random, policy: Policy | None = None
+        self,
+        data_centre: str,
+        rng: random.Random,
+        policy: Policy | None = None,
+        name: str = "",
     ):
         """Starts without searchers.
 
@@ -60,8 +64,9 @@
             data_centre: where this entry stands.
             rng: seeded source, for splits and ties.
             policy: limits, or None for the defaults.
+            name: of this entry.
         """
-        self.tables = Tables(data_centre, policy or Policy(), rng)
+        self.tables = Tables(data_centre, policy or Policy(), rng, name)
 
     def step(self, now: float, msgs: Iterable[object]) -> list:
         """Runs one tick.
@@ -95,11 +100,8 @@
         return timers[0][0] if timers else None
 
     def set_routes(self, table: RouteTable) -> None:
-        """Takes in the connection caps of a new document."""
-        self.tables.caps = {
-            rules.name: rules.connection_cap
-            for rules in table.services.values()
-        }
+        """Takes in what a new document says of services."""
+        self.tables.services = table.services
         searchers.set_caps(self.tables)
 
     def set_entries(self, number: int) -> None:
--- a/greengagemoor/forward/entrydecider.py
+++ b/greengagemoor/forward/entrydecider.py
@@ -51,7 +51,7 @@
             rng: seeded source.
             policy: limits, or None for the defaults.
         """
-        self.forward = ForwardDecider(me.data_centre, rng, policy)
+        self.forward = ForwardDecider(me.data_centre, rng, policy, me.name)
         suspects = self.forward.tables.suspects
         self.view = View(me.name, me.address, me.data_centre, suspects)
         self._claims = TrialClaims(me.name, rng)
--- a/greengagemoor/forward/searchers.py
+++ b/greengagemoor/forward/searchers.py
@@ -110,11 +110,22 @@
     before = tables.evacuated
     tables.evacuations.take(msg.rows)
     tables.evacuated = tables.evacuations.active
-    tables.out += [
-        CloseIdle(row.address)
-        for row in tables.searchers.values()
-        if row.data_centre in tables.evacuated - before
-    ]
+    for row in tables.searchers.values():
+        if row.data_centre in tables.evacuated - before:
+            tables.out.append(CloseIdle(row.address))
+        elif row.data_centre in before - tables.evacuated:
+            _take_for_cold(tables, row)
+
+
+def _take_for_cold(tables: Tables, row: Searcher) -> None:
+    """Takes a searcher for cold that got nothing for some time.
+
+    Its own word on that may be an announcement away.
+    """
+    rules = tables.services.get(row.service)
+    if rules is not None:
+        until = tables.now + rules.cold_for_s
+        row.cold_until = max(row.cold_until, until)
 
 
 def set_caps(tables: Tables) -> None:
@@ -130,5 +141,6 @@
     a number of entries that only grows, so that a cut that hides entries can't
     raise it.
     """
-    cap = tables.caps.get(service, tables.sharers)
+    rules = tables.services.get(service)
+    cap = rules.connection_cap if rules is not None else tables.sharers
     return max(1, cap // tables.sharers)
--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from greengagemoor.forward import choosing
+from greengagemoor.forward import choosing, coldstart
 from greengagemoor.forward.messages import (
     CancelAttempt,
     Outcome,
@@ -49,6 +49,7 @@
     )
     tables.attempts[attempt.attempt_id] = attempt
     searcher.attempts[attempt.attempt_id] = attempt
+    searcher.sent_at = tables.now
     if not leg.sends:
         leg.first_sent_at = tables.now
     leg.attempts.append(attempt)
@@ -227,6 +228,8 @@
         return False
     if not choosing.is_usable(tables, row):
         return False
+    if not coldstart.has_turn(tables, row):
+        return False
     if leg.sends >= MOST_SENDS or tables.now >= leg.request.ends_at:
         return False
     tables.budget_of(leg.service).count(tables.now)
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -24,7 +24,7 @@
     from greengagemoor.forward.evidence import PossibleEnd
     from greengagemoor.forward.messages import Outcome, SearcherAnswer, Step
     from greengagemoor.forward.trialtable import Trial
-    from greengagemoor.routing.routes import Route
+    from greengagemoor.routing.routes import Route, ServiceRules
 
 RECENT_ENDS = 64
 """More searchers than end within the moment in which a trial is judged."""
@@ -71,6 +71,7 @@
         others: requests of other entries there, at its last word; it is
             told in logs and decides nothing.
         failing: smoothed share of sends that failed.
+        sent_at: when this entry sent to it last.
         avoid_until: it isn't chosen before, after failures in a row.
         slow_until: until then other entries find it slow.
     """
@@ -94,6 +95,7 @@
     failures: int = 0
     avoid_until: float = float("-inf")
     slow_until: float = float("-inf")
+    sent_at: float = float("-inf")
 
     @property
     def key(self) -> SearcherKey:
@@ -209,6 +211,7 @@
     """All state of the decider and its output of a tick.
 
     Attributes:
+        name: of this entry.
         due_at: when what runs now should have run: the time of a timer that
             may fire late, or ``now``.
         possible_ends: searchers that broke off a send and may have ended.
@@ -223,12 +226,13 @@
     data_centre: str
     policy: Policy
     rng: random.Random
+    name: str = ""
     now: float = 0.0
     due_at: float = 0.0
     started_at: float = float("inf")
     out: list = attrs.field(factory=list)
     entries: int = 1
-    caps: dict[str, int] = attrs.field(factory=dict)
+    services: dict[str, ServiceRules] = attrs.field(factory=dict)
     searchers: dict[str, Searcher] = attrs.field(factory=dict)
     by_service: dict[str, list[Searcher]] = attrs.field(factory=dict)
     requests: dict[int, Request] = attrs.field(factory=dict)
--- a/greengagemoor/platform/documents.py
+++ b/greengagemoor/platform/documents.py
@@ -43,7 +43,12 @@
 def _table(data: dict[str, Any]) -> RouteTable:
     version = fields.whole(data["version"], least=1)
     services = [
-        ServiceRules(fields.text(item["name"]), int(item["max-conns"]))
+        ServiceRules(
+            fields.text(item["name"]),
+            int(item["max-conns"]),
+            cold_for_s=fields.number(item.get("cold-start-s", 0)),
+            cold_per_s=fields.number(item.get("cold-per-s", 0)),
+        )
         for item in data["services"]
     ]
     return RouteTable(
--- a/greengagemoor/routing/routes.py
+++ b/greengagemoor/routing/routes.py
@@ -77,10 +77,17 @@
 
 @values.frozen
 class ServiceRules:
-    """What holds for each searcher of a service."""
+    """What holds for each searcher of a service.
+
+    Attributes:
+        cold_for_s: how long one is cold after its start.
+        cold_per_s: requests a second that a cold one bears; 0 for no bound.
+    """
 
     name: str
     connection_cap: int
+    cold_for_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @values.frozen
--- a/tests/test_feed/test_hub.py
+++ b/tests/test_feed/test_hub.py
@@ -258,3 +258,22 @@
         bench.subscribe()
         bench.step(NumberedAccepted(7, b"packed"))
         assert bench.step(NumberedAccepted(5, b"older")) == []
+
+
+class TestColdAgain:
+    """A searcher may become cold again at any moment."""
+
+    def test_told_at_once(self):
+        bench = HubBench()
+        bench.subscribe()
+        bench.step(m.Announced(1, row(sequence=1)))
+        again = row(sequence=2, cold_left_s=3.0)
+        out = bench.step(m.Announced(2, again), after=1.0)
+        assert rows_to(out) == [again]
+
+    def test_going_on_being_cold_is_no_news(self):
+        bench = HubBench()
+        bench.subscribe()
+        bench.step(m.Announced(1, row(sequence=1, cold_left_s=3.0)))
+        later = row(sequence=2, cold_left_s=2.0)
+        assert not rows_to(bench.step(m.Announced(2, later), after=1.0))
--- a/tests/test_feed/test_shares.py
+++ b/tests/test_feed/test_shares.py
@@ -13,6 +13,7 @@
 from greengagemoor.feed.view import View
 from greengagemoor.forward import searchers
 from greengagemoor.forward.tables import Policy, Tables
+from greengagemoor.routing.routes import ServiceRules
 from greengagemoor.serving.entry import ALLOWANCE_SHARE
 
 HUBS = ("c1", "c2", "c3")
@@ -110,7 +111,7 @@
             if view.peers or view.entries > 1:
                 one = Tables("dc1", policy, random.Random(1))
                 one.entries = view.entries
-                one.caps = {"s": CAP}
+                one.services = {"s": ServiceRules("s", CAP)}
                 made.append(one)
         return made
 
--- /dev/null
+++ b/tests/test_forward/test_coldstart.py
@@ -0,0 +1,157 @@
+"""A cold searcher gets few requests a second, over all entries together."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+import attrs
+import pytest
+
+from greengagemoor.control.evacuations import Evacuation
+from greengagemoor.feed.messages import (
+    EvacuationsLearnt,
+    SearcherLearnt,
+    SearcherRow,
+    SearcherState,
+)
+from greengagemoor.forward.decider import ForwardDecider
+from greengagemoor.forward.messages import Ending, Outcome
+from greengagemoor.routing.routes import RouteTable, ServiceRules
+from tests.test_forward.helpers import Bench, answers, single, starts
+
+OVERAGE, SLACK = 1.5, 5
+COLD_S = 6.0
+TICK_S = 0.05
+RULES = ServiceRules("s0", 40, cold_for_s=3.0, cold_per_s=20.0)
+
+
+def row(name="cold", cold_s=COLD_S, **changes):
+    made = SearcherRow(
+        name, "s0", f"{name}:1", "dc1", SearcherState.READY, 1, 5, cold_s
+    )
+    return attrs.evolve(made, **changes)
+
+
+def entry(name, entries, rules):
+    decider = ForwardDecider("dc1", random.Random(name), name=name)
+    decider.set_routes(RouteTable(1, (), {"s0": rules}, None))
+    decider.set_entries(entries)
+    return decider
+
+
+class Fleet:
+    """Entries that all press on one cold searcher."""
+
+    def __init__(self, entries, per_s, seed):
+        self.rng = random.Random(seed)
+        rules = attrs.evolve(RULES, cold_per_s=per_s)
+        names = [f"10.{seed}.0.{i}" for i in range(entries)]
+        self.make = lambda name: entry(name, entries, rules)
+        self.entries = {name: self.make(name) for name in names}
+        self.now = 100.0
+        self.recent: deque[float] = deque()
+        self.most = 0
+        self.sent = 0
+
+    def learn(self):
+        for decider in self.entries.values():
+            decider.step(self.now, [SearcherLearnt(row())])
+
+    def kill(self, share):
+        """Kills entries; they come back at once and know the searcher."""
+        names = sorted(self.entries)
+        for name in self.rng.sample(names, int(share * len(names))):
+            self.entries[name] = self.make(name)
+            self.entries[name].step(self.now, [SearcherLearnt(row())])
+
+    def press(self):
+        """Each entry asks for a send, and has none of them answered."""
+        from greengagemoor.forward import choosing
+
+        for decider in self.entries.values():
+            decider.step(self.now, ())
+            (searcher,) = decider.tables.by_service["s0"]
+            usable = choosing.is_usable(decider.tables, searcher)
+            if usable and choosing.coldstart.has_turn(decider.tables, searcher):
+                searcher.sent_at = self.now
+                self.note(self.now + self.rng.uniform(0.0, 0.05))
+
+    def note(self, at):
+        self.sent += 1
+        self.recent.append(at)
+        while self.recent[0] <= at - 1.0:
+            self.recent.popleft()
+        self.most = max(self.most, len(self.recent))
+
+
+class TestSum:
+    """The bound over all entries, by any second."""
+
+    @pytest.mark.parametrize("entries", [9, 67, 191])
+    @pytest.mark.parametrize("per_s", [1.0, 5.0, 20.0, 100.0])
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_never_passed_while_all_press(self, entries, per_s, seed):
+        fleet = Fleet(entries, per_s, seed)
+        fleet.learn()
+        for turn in range(int((COLD_S - 1.0) / TICK_S)):
+            if turn % 30 == 29:
+                fleet.kill(0.3)
+            fleet.press()
+            fleet.now += TICK_S
+        assert fleet.most <= per_s * OVERAGE + SLACK
+
+    def test_a_good_part_of_it_is_used(self):
+        fleet = Fleet(67, 100.0, 1)
+        fleet.learn()
+        for _ in range(int((COLD_S - 1.0) / TICK_S)):
+            fleet.press()
+            fleet.now += TICK_S
+        assert fleet.sent >= 0.4 * 100.0 * (COLD_S - 1.0)
+
+
+class TestSends:
+    """What one entry sends."""
+
+    def bench(self, rules=RULES, **more):
+        bench = Bench(searchers=0)
+        bench.decider.set_routes(RouteTable(1, (), {"s0": rules}, None))
+        bench.step(SearcherLearnt(row(**more)))
+        return bench
+
+    def test_warm_one(self):
+        bench = self.bench(cold_s=0.0)
+        sends = [starts(bench.arrive(single())) for _ in range(4)]
+        assert all(sends)
+
+    def test_no_bound(self):
+        bench = self.bench(attrs.evolve(RULES, cold_per_s=0.0))
+        sends = [starts(bench.arrive(single())) for _ in range(4)]
+        assert all(sends)
+
+    def test_pace(self):
+        """Ten entries at the least share 0.6 of 20 a second."""
+        bench = self.bench()
+        assert starts(bench.arrive(single()))
+        assert not starts(bench.arrive(single()))
+        out = bench.pass_time(1.0)
+        assert len(starts(out)) <= 2
+
+    def test_stale_connection(self):
+        """Guards against a resend that isn't counted."""
+        bench = self.bench()
+        (first,) = starts(bench.arrive(single()))
+        assert not starts(bench.end(first, Outcome.BROKEN, stale=True))
+
+    def test_refused_at_once_where_this_entry_may_not(self):
+        bench = self.bench(attrs.evolve(RULES, cold_per_s=0.001))
+        (answer,) = answers(bench.arrive(single()))
+        assert answer.ending is Ending.NOT_RUN_NO_SEARCHER
+
+    def test_cold_until_heard_otherwise_after_an_evacuation(self):
+        """Guards against a rush of all entries as it ends."""
+        bench = self.bench(cold_s=0.0)
+        bench.step(EvacuationsLearnt((Evacuation("dc1", 1, True),)))
+        bench.step(EvacuationsLearnt((Evacuation("dc1", 2, False),)))
+        assert starts(bench.arrive(single()))
+        assert not starts(bench.arrive(single()))
