--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -129,9 +129,15 @@
             **tables.suspects.counts(),
             "requests_held": sum(len(t.held) for t in tables.trials.values()),
             "leaving_delay_seconds": tables.leaving.usual_s,
+            "searchers_evacuated": self._count_evacuated(),
             **{f"searchers_{name}": n for name, n in states.items()},
         }
 
+    def _count_evacuated(self) -> int:
+        places = self.tables.evacuated
+        rows = self.tables.searchers.values()
+        return sum(row.data_centre in places for row in rows)
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is under way."""
