An answer leaves by the round trip of its caller's connection

The system knows the round trip of each connection (tcp_info): a new connection costs two, a kept one one, and 4 ms stay for a busy process to read. Where nothing is told the guess stands.

--- a/greengagemoor/aio/connection.py
+++ b/greengagemoor/aio/connection.py
@@ -44,6 +44,7 @@
         self._keep_alive: deque[bool] = deque()
         self._closing = False
         self._broken = False
+        self._taken = 0
         self._begin()
 
     # Transport.
@@ -144,6 +145,8 @@
             conn=self,
         )
         self._started_at = None
+        req.is_first = not self._taken
+        self._taken += 1
         self._keep_alive.append(self._parser.should_keep_alive())
         self._queue.append(req)
         if len(self._queue) >= MOST_PIPELINED:
@@ -221,6 +224,13 @@
         if self._transport is not None:
             self._transport.close()
 
+    @property
+    def round_trip_s(self) -> float | None:
+        """Round trip to the caller; None if it isn't known."""
+        if self._transport is None:
+            return None
+        return sockets.round_trip_s(self._transport)
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is under way or partly here."""
--- a/greengagemoor/aio/requests.py
+++ b/greengagemoor/aio/requests.py
@@ -21,6 +21,7 @@
         target: path and query as they were sent.
         headers: in order, names as they were sent.
         arrived_at: loop time of its first byte.
+        is_first: whether its connection was opened for it.
     """
 
     method: str
@@ -30,6 +31,7 @@
     arrived_at: float
     conn: HttpConnection
     token: int = 0
+    is_first: bool = True
 
     def header(self, name: bytes) -> str | None:
         """Returns the first header of a name in lower case, or None."""
@@ -38,6 +40,17 @@
                 return value.decode("latin-1")
         return None
 
+    @property
+    def way_s(self) -> float | None:
+        """What its caller's clock spends on the network, None if not known.
+
+        A new connection costs a round trip before the request is sent.
+        """
+        trip = self.conn.round_trip_s
+        if trip is None:
+            return None
+        return 2 * trip if self.is_first else trip
+
     @property
     def path(self) -> str:
         """The target without its query."""
--- a/greengagemoor/aio/sockets.py
+++ b/greengagemoor/aio/sockets.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import struct
 
 UNACKED_MS = 3000
 """Bytes unacknowledged for this long end a connection: without it, one to a
@@ -11,6 +12,8 @@
 PROBE_IDLE_S = 2
 PROBE_INTERVAL_S = 1
 PROBES = 3
+ROUND_TRIP = struct.Struct("68xI")
+"""Where Linux keeps ``tcpi_rtt``, in microseconds, in its ``tcp_info``."""
 BACKLOG = 1024
 """Connections that may wait to be accepted: ten seconds of all that a site of
 100 requests a second gets, should one entry be alone."""
@@ -58,3 +61,22 @@
         # An option that this system lacks costs only its own protection.
         with contextlib.suppress(OSError):
             sock.setsockopt(level, option, value)
+
+
+def round_trip_s(transport) -> float | None:
+    """Returns the round trip that the system has seen on a connection.
+
+    None where it doesn't tell.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return None
+    try:
+        info = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, ROUND_TRIP.size
+        )
+        (micros,) = ROUND_TRIP.unpack(info)
+    except (AttributeError, OSError, struct.error):
+        # Another system; the caller's way is guessed there.
+        return None
+    return micros / 1e6 if micros else None
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -204,6 +204,7 @@
         route = msg.route
         now = tables.now
         waited = 0.0
+        trip = self._caller_trip_s(msg)
         ends_at = now + route.time_limit_s - END_MARGIN_S
         if msg.patience_s is not None:
             # A caller that comes again has less patience left than others on
@@ -211,9 +212,8 @@
             most = max(tables.patience.get(route.name, 0.0), msg.patience_s)
             tables.patience[route.name] = most
             waited = most - msg.patience_s
-            trip = tables.policy.caller_trip_s / 2
-            ends_at = min(ends_at, now + msg.patience_s - trip)
-        left = route.objective_s - waited - tables.policy.caller_trip_s
+            ends_at = min(ends_at, now + msg.patience_s - trip / 2)
+        left = route.objective_s - waited - trip
         left -= tables.leaving.margin_s(route.objective_s)
         if left <= 0:
             # Late already: a whole answer is worth one more objective.
@@ -230,6 +230,13 @@
         request.legs = [Leg(request, name) for name in self._services(route)]
         return request
 
+    def _caller_trip_s(self, msg: Arrived) -> float:
+        """Returns what the caller's clock runs while nothing is asked here."""
+        policy = self.tables.policy
+        way = policy.caller_way_s if msg.way_s is None else msg.way_s
+        most = policy.most_way_share * msg.route.objective_s
+        return min(way, most) + policy.caller_read_s
+
     def _services(self, route) -> tuple[str, ...]:
         if route.gather is not None:
             return route.gather.services
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -104,6 +104,8 @@
         token: names the request until its ``Respond``.
         patience_s: how long the caller still waits; None if it didn't say.
         fingerprint: equal for requests that ask for the same.
+        way_s: what the caller's clock spends on the network, from its first
+            packet until the answer is there; None if it isn't known.
     """
 
     token: int
@@ -111,6 +113,7 @@
     route: Route
     patience_s: float | None
     fingerprint: bytes = b""
+    way_s: float | None = None
 
 
 @values.frozen
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -43,9 +43,11 @@
         hedge_medians: or later than so many medians: slow searchers raise the
             quantile to their own times. 0.84 in place of 0.79 of the credit
             at 78 entries with one searcher in seven slow (bench.gathers).
-        caller_trip_s: what a caller's clock has run before a request is here,
-            and until its answer is there: a connection, two ways of 3 ms, and
-            4 ms until a busy process reads it.
+        caller_way_s: what a caller's clock spends on the network where the
+            system doesn't tell the round trip: a connection and two ways.
+        caller_read_s: the same until a busy process reads what is there.
+        most_way_share: share of an objective that the way may take: behind a
+            link that loses packets it would leave no time for searchers.
         linger_s: how long a send whose answer is no longer needed may go on
             before its connection is closed.
         busy_share: share of the objective that a request waits for a place.
@@ -57,7 +59,9 @@
     retry_window_s: float = 10.0
     hedge_quantile: float = 0.9
     hedge_medians: float = 2.0
-    caller_trip_s: float = 0.016
+    caller_way_s: float = 0.012
+    caller_read_s: float = 0.004
+    most_way_share: float = 0.25
     linger_s: float = 0.03
     busy_share: float = 0.2
     places: int = 10
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -175,6 +175,7 @@
                 route,
                 words.patience_s,
                 identify(req, words),
+                req.way_s,
             )
         )
 
