Entries share the shards of a query where the own link binds

A tree of one level: an entry keeps a part of the shards, two others of its data centre ask the rest, each merges the greatest records of its part and hands them back in one message.

Second sends are counted where they are made. Entries that aren't ready refuse parts, as do those that suspect the request.

It is done only where the answers of a query keep the own link busy for 10 ms and more, by the rate of the settings and the sizes that were seen, so that sites of few shards and fast links work as before. forward/arrivals.py and forward/policy.py were split off.

--- a/bench/crashes/nodes.py
+++ b/bench/crashes/nodes.py
@@ -11,7 +11,7 @@
 from greengagemoor.feed.timing import Timing
 from greengagemoor.forward import messages as m
 from greengagemoor.forward.entrydecider import EntryDecider
-from greengagemoor.forward.tables import Policy
+from greengagemoor.forward.policy import Policy
 
 TRIP_S = 0.001
 ANNOUNCE_S = 1.2
--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -29,7 +29,7 @@
 from greengagemoor.feed.view import REPORT_EVERY_S
 from greengagemoor.forward import messages as m
 from greengagemoor.forward.decider import ForwardDecider
-from greengagemoor.forward.tables import Policy
+from greengagemoor.forward.policy import Policy
 from greengagemoor.routing.routes import (
     CallerLimits,
     Gather,
--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -12,6 +12,7 @@
     Received,
     Send,
 )
+from greengagemoor.feed import helpers
 from greengagemoor.feed import messages as m
 from greengagemoor.feed.heard import FORGET_S, LOST_AFTER_BEATS, HeardRows
 from greengagemoor.feed.history import DocumentHistory
@@ -252,6 +253,9 @@
             self._take_slow(payload)
         elif isinstance(payload, m.SuspectRows):
             self._out += self.suspects.take(sender, payload.rows)
+        elif isinstance(payload, m.WantHelpers):
+            chosen = helpers.choose(self._subscribers.entries(), sender)
+            self._out.append(Send(sender, m.Helpers(chosen)))
         elif isinstance(payload, m.RowsTaken):
             self._subscribers.note_taken(sender, payload.number)
         elif (
--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -79,12 +79,34 @@
 
     Attributes:
         address: where callers reach it; '' for a control instance.
+        peer_address: where other entries reach it.
     """
 
     name: str
     address: str
     data_centre: str
     ready: bool
+    peer_address: str = ""
+
+
+@values.frozen
+class WantHelpers:
+    """An entry asks with which others it may share queries."""
+
+
+@values.frozen
+class Helper:
+    """An entry as other entries reach it."""
+
+    name: str
+    address: str
+
+
+@values.frozen
+class Helpers:
+    """Entries with which the asking one may share queries."""
+
+    helpers: tuple[Helper, ...]
 
 
 @values.frozen
@@ -202,6 +224,13 @@
 # Inside a process.
 
 
+@values.frozen
+class HelpersLearnt:
+    """With which entries this one may share queries from now on."""
+
+    helpers: tuple[Helper, ...]
+
+
 @values.frozen
 class EvacuationsLearnt:
     """Newer words on data centres reached this entry."""
--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -24,6 +24,7 @@
 
 FETCH_AGAIN_S = 0.5
 REPORT_EVERY_S = 0.1
+HELPERS_EVERY_S = 3.0
 KEPT_LEVEL = 1
 """Compression of the document that is kept for the next difference."""
 SETTLE_S = 0.4
@@ -58,6 +59,7 @@
         address: str,
         data_centre: str,
         suspects: SuspectTable | None = None,
+        peer_address: str = "",
     ):
         """Starts knowing nothing.
 
@@ -67,9 +69,12 @@
             data_centre: where it stands.
             suspects: what this entry knows of requests under which searchers
                 have ended; it is only read here.
+            peer_address: where other entries reach it, '' if none may.
         """
         self._suspects = SuspectTable() if suspects is None else suspects
-        self.me = m.Subscribe(name, address, data_centre, ready=False)
+        self.me = m.Subscribe(
+            name, address, data_centre, ready=False, peer_address=peer_address
+        )
         self.number = 0
         self._packed = b""
         self._wants_whole = False
@@ -83,6 +88,8 @@
         self._sources: dict[str, _Source] = {}
         self._rows: dict[str, m.SearcherRow] = {}
         self._fetch: _Fetch | None = None
+        self._helpers: tuple[m.Helper, ...] = ()
+        self._helpers_at = 0.0
         self._slow_seen: set[m.SearcherKey] = set()
         self._report_at = 0.0
         self._now = 0.0
@@ -98,7 +105,8 @@
 
         Returns:
             ``Send``, ``SearcherLearnt``, ``SlowSearchers``, ``SuspectsLearnt``,
-            ``EvacuationsLearnt``, ``DocumentLearnt``, ``DifferenceRefused``,
+            ``EvacuationsLearnt``, ``HelpersLearnt``, ``DocumentLearnt``,
+            ``DifferenceRefused``,
             ``ReadyChanged``.
         """
         self._now = now
@@ -109,6 +117,7 @@
         self._drive_fetch()
         self._drive_read()
         self._drive_ready()
+        self._drive_helpers()
         return self._out
 
     def next_wake(self) -> float:
@@ -171,6 +180,8 @@
             self._out.append(m.SuspectsLearnt(payload.rows))
         elif isinstance(payload, m.Evacuations):
             self._take_evacuations(payload.rows)
+        elif isinstance(payload, m.Helpers):
+            self._take_helpers(payload.helpers)
         elif isinstance(payload, m.KnownPeers):
             source.peers = payload.addresses
             self._take_peers()
@@ -183,6 +194,11 @@
         if news:
             self._out.append(m.EvacuationsLearnt(news))
 
+    def _take_helpers(self, helpers: tuple[m.Helper, ...]) -> None:
+        if helpers != self._helpers:
+            self._helpers = helpers
+            self._out.append(m.HelpersLearnt(helpers))
+
     def _take_peers(self) -> None:
         """Keeps those whom any linked control instance names.
 
@@ -303,6 +319,20 @@
         for name in self._sources:
             self._out.append(Send(name, self.me))
 
+    def _drive_helpers(self) -> None:
+        """Asks now and then with whom queries may be shared.
+
+        One control instance answers, not the same for all entries.
+        """
+        if not self.me.ready or self._now < self._helpers_at:
+            return
+        names = sorted(self._sources)
+        if names and self.me.peer_address:
+            self._helpers_at = self._now + HELPERS_EVERY_S
+            turn = zlib.crc32(self.me.name.encode()) + int(self._now)
+            asked = names[turn % len(names)]
+            self._out.append(Send(asked, m.WantHelpers()))
+
     def _is_settled(self) -> bool:
         if self.me.ready:
             return True
--- /dev/null
+++ b/greengagemoor/forward/aggregating.py
@@ -0,0 +1,95 @@
+"""What an entry tells of shards that it asks for another entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from greengagemoor.forward.mergers import GREATEST_RECORDS, mergers
+from greengagemoor.forward.partmessages import (
+    LegEnd,
+    PartAnswered,
+    PartClosed,
+    ToPeer,
+)
+
+if TYPE_CHECKING:
+    from greengagemoor.forward.tables import Leg, Request, Tables
+
+
+def tell(tables: Tables, request: Request) -> None:
+    """Tells the answers that were not told yet, in one message.
+
+    Before they are due they wait for each other: told one by one, they would
+    take as much of the asking entry's link as from the searchers.
+    """
+    legs = _untold(request)
+    if legs and tables.now >= request.give_at:
+        _send(tables, request, _merged(request, legs))
+
+
+def close(tables: Tables, request: Request, *, wanted: bool) -> None:
+    """Ends a part.
+
+    Args:
+        tables: the tables.
+        request: the part.
+        wanted: whether the asking entry still waits for it.
+    """
+    origin = request.origin
+    tables.origins.pop((origin.peer, origin.part_id), None)
+    if wanted:
+        _send(tables, request, _last(request))
+    tables.out.append(
+        PartClosed(
+            request.token,
+            request.request_id,
+            request.route.name,
+            origin.peer,
+            shards=len(request.legs),
+            answered=request.answered,
+            sends=request.sends,
+            elapsed_s=tables.now - request.arrived_at,
+        )
+    )
+
+
+def _last(request: Request) -> PartAnswered:
+    missing = tuple(
+        LegEnd(leg.service, leg.runs)
+        for leg in request.legs
+        if leg.answer is None
+    )
+    merged = _merged(request, _untold(request))
+    return PartAnswered(
+        merged.part_id,
+        merged.services,
+        merged.signatures,
+        merged.body,
+        over=True,
+        missing=missing,
+        sends=request.sends,
+    )
+
+
+def _untold(request: Request) -> list[Leg]:
+    told = request.origin.told
+    return [
+        leg
+        for leg in request.legs
+        if leg.answer is not None and leg.service not in told
+    ]
+
+
+def _merged(request: Request, legs: list[Leg]) -> PartAnswered:
+    merge = mergers.get(GREATEST_RECORDS)
+    request.origin.told.update(leg.service for leg in legs)
+    return PartAnswered(
+        request.origin.part_id,
+        tuple(leg.service for leg in legs),
+        tuple(leg.answer.signature for leg in legs),
+        merge((leg.answer.body for leg in legs), request.route.gather.top),
+    )
+
+
+def _send(tables: Tables, request: Request, msg: PartAnswered) -> None:
+    tables.out.append(ToPeer(request.origin.peer, msg))
--- /dev/null
+++ b/greengagemoor/forward/arrivals.py
@@ -0,0 +1,144 @@
+"""Callers' requests as they arrive: refused at once, held or sent."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from greengagemoor.forward import (
+    choosing,
+    completion,
+    evidence,
+    starting,
+    trials,
+    trialtable,
+)
+from greengagemoor.forward.messages import Ending
+from greengagemoor.forward.tables import Leg, Request
+
+if TYPE_CHECKING:
+    from greengagemoor.forward.messages import Arrived
+    from greengagemoor.forward.policy import Policy
+    from greengagemoor.forward.tables import Tables
+    from greengagemoor.routing.routes import Route
+
+END_MARGIN_S = 0.01
+"""An answer leaves this long before the caller gives up."""
+
+
+def take(tables: Tables, msg: Arrived) -> None:
+    """Takes a request in: refuses it at once, holds it, or sends it."""
+    request = _open(tables, msg)
+    tables.requests[msg.token] = request
+    if tables.now >= request.ends_at:
+        completion.finish(tables, request, Ending.NOT_RUN_DEADLINE)
+        return
+    if trialtable.is_refused(tables, request.fingerprint):
+        completion.finish(tables, request, Ending.NOT_RUN_QUARANTINED)
+        return
+    if not _can_serve(tables, request):
+        completion.finish(tables, request, Ending.NOT_RUN_NO_SEARCHER)
+        return
+    if evidence.is_suspect(tables, request.fingerprint):
+        trials.hold(tables, request)
+    else:
+        starting.start(tables, request)
+    if not request.done:
+        _arm(tables, request)
+
+
+def _open(tables: Tables, msg: Arrived) -> Request:
+    """Makes the row, with the times by which it must end."""
+    route = msg.route
+    now = tables.now
+    waited = 0.0
+    trip = _caller_trip_s(tables.policy, msg)
+    ends_at = now + route.time_limit_s - END_MARGIN_S
+    if msg.patience_s is not None:
+        # A caller that comes again has less patience left than others on
+        # this route; the difference is what it has waited already.
+        most = max(tables.patience.get(route.name, 0.0), msg.patience_s)
+        tables.patience[route.name] = most
+        waited = most - msg.patience_s
+        ends_at = min(ends_at, now + msg.patience_s - trip / 2)
+    left = route.objective_s - waited - trip
+    left -= tables.leaving.margin_s(route.objective_s)
+    if left <= 0:
+        # Late already: a whole answer is worth one more objective.
+        left = route.objective_s
+    request = Request(
+        token=msg.token,
+        request_id=msg.request_id,
+        route=route,
+        arrived_at=now,
+        give_at=min(ends_at, now + left),
+        ends_at=ends_at,
+        fingerprint=msg.fingerprint,
+    )
+    request.legs = [Leg(request, name) for name in _services(tables, route)]
+    return request
+
+
+def _caller_trip_s(policy: Policy, msg: Arrived) -> float:
+    """Returns what the caller's clock runs while nothing is asked here."""
+    way = policy.caller_way_s if msg.way_s is None else msg.way_s
+    most = policy.most_way_share * msg.route.objective_s
+    return min(way, most) + policy.caller_read_s
+
+
+def _services(tables: Tables, route: Route) -> tuple[str, ...]:
+    if route.gather is not None:
+        return route.gather.services
+    if len(route.split) == 1:
+        return (route.split[0].service,)
+    weights = [part.weight for part in route.split]
+    part = tables.rng.choices(route.split, weights)[0]
+    return (part.service,)
+
+
+def _can_serve(tables: Tables, request: Request) -> bool:
+    """Whether enough services have a searcher, before any is asked.
+
+    When all searchers of a shard are down, an answer below the floor
+    would be made of work that is thrown away.
+    """
+    usable = sum(
+        choosing.has_usable(tables, leg.service) for leg in request.legs
+    )
+    if request.route.gather is None:
+        return usable > 0
+    return completion.is_enough(request, usable)
+
+
+def _arm(tables: Tables, request: Request) -> None:
+    look = partial(completion.look, tables, request)
+    if request.route.gather is not None:
+        tables.set_timer(request.give_at, look)
+    else:
+        busy = tables.policy.busy_share * request.route.objective_s
+        at = tables.now + busy
+        tables.set_timer(at, partial(_end_busy, tables, request))
+    tables.set_timer(request.ends_at, partial(_end, tables, request))
+
+
+def _end_busy(tables: Tables, request: Request) -> None:
+    """Refuses what found no place in good time, so that it can go on."""
+    if not request.done and not request.sends:
+        completion.finish(tables, request, _unsent_ending(request))
+
+
+def _end(tables: Tables, request: Request) -> None:
+    if request.done:
+        return
+    is_gather = request.route.gather is not None
+    if is_gather and completion.is_enough(request, request.answered):
+        completion.finish(tables, request, Ending.PARTIAL)
+    elif request.sends:
+        completion.finish(tables, request, Ending.NO_ANSWER)
+    else:
+        completion.finish(tables, request, _unsent_ending(request))
+
+
+def _unsent_ending(request: Request) -> Ending:
+    held = request.is_held
+    return Ending.NOT_RUN_SUSPECT if held else Ending.NOT_RUN_BUSY
--- a/greengagemoor/forward/completion.py
+++ b/greengagemoor/forward/completion.py
@@ -5,7 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from greengagemoor.forward import ended, proof, sending
+from greengagemoor.forward import aggregating, ended, parts, proof, sending
 from greengagemoor.forward.mergers import GREATEST_RECORDS, mergers
 from greengagemoor.forward.messages import (
     Ending,
@@ -36,7 +36,9 @@
     """Ends a request if it can be ended now."""
     if request.done:
         return
-    if request.route.gather is None:
+    if request.origin is not None:
+        _look_part(tables, request)
+    elif request.route.gather is None:
         _look_single(tables, request)
     else:
         _look_gather(tables, request)
@@ -70,6 +72,13 @@
         finish(tables, request, Ending.BELOW_COVERAGE)
 
 
+def _look_part(tables: Tables, request: Request) -> None:
+    if request.is_open:
+        aggregating.tell(tables, request)
+    else:
+        finish(tables, request, Ending.PARTIAL)
+
+
 def is_enough(request: Request, answered: int) -> bool:
     """Whether so many shards make an answer."""
     least = request.route.gather.least_coverage * len(request.legs)
@@ -96,7 +105,11 @@
     """Gives the final answer, and lets go of what still runs."""
     request.done = True
     tables.requests.pop(request.token, None)
-    if ending is not Ending.CALLER_GONE:
+    answered = ending in (Ending.ANSWERED, Ending.PARTIAL)
+    parts.drop_all(tables, request, answered=answered)
+    if request.origin is not None:
+        aggregating.close(tables, request, wanted=not request.is_dropped)
+    elif ending is not Ending.CALLER_GONE:
         tables.out.append(_respond(tables, request, ending))
     linger_s = _linger_s(tables, request, ending)
     for leg in request.legs:
@@ -141,7 +154,7 @@
         route=request.route,
         ending=ending,
         elapsed_s=tables.now - request.arrived_at,
-        sends=request.sends,
+        sends=request.sends + request.part_sends,
         answer=answer,
         merged=merged,
         retry_after_s=RETRY_AFTER_S.get(ending),
@@ -180,6 +193,8 @@
     if leg.attempts:
         asked = "+".join(a.searcher.searcher_id for a in leg.attempts)
         return f"late/{asked}"
+    if leg.helper:
+        return f"at/{leg.helper}"
     if leg.failure is not None:
         return f"failed{leg.failure.status}"
     if leg.broken:
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from functools import partial
 from typing import TYPE_CHECKING
 
 from greengagemoor.feed.messages import (
@@ -13,14 +12,14 @@
     SuspectsLearnt,
 )
 from greengagemoor.forward import (
-    choosing,
+    arrivals,
     completion,
+    delegating,
     ended,
     evidence,
+    partintake,
     searchers,
-    starting,
     trials,
-    trialtable,
 )
 from greengagemoor.forward.messages import (
     AnswerLeft,
@@ -31,12 +30,17 @@
     ProbeEnded,
     TrialDecided,
 )
-from greengagemoor.forward.tables import (
-    Leg,
-    Policy,
-    Request,
-    Tables,
+from greengagemoor.forward.partmessages import (
+    AskPart,
+    FromPeer,
+    PartAnswered,
+    PartDropped,
+    PartTaken,
+    PeerDown,
+    PeerUp,
 )
+from greengagemoor.forward.policy import Policy
+from greengagemoor.forward.tables import Tables
 
 if TYPE_CHECKING:
     import random
@@ -44,9 +48,6 @@
 
     from greengagemoor.routing.routes import RouteTable
 
-END_MARGIN_S = 0.01
-"""An answer leaves this long before the caller gives up."""
-
 
 class ForwardDecider:
     """Places, repeats and merges; see ``forward.messages`` for its words."""
@@ -76,18 +77,19 @@
             msgs: ``Arrived``, ``CallerGone``, ``AttemptEnded``,
                 ``AnswerLeft``, ``SearcherLearnt``, ``SlowSearchers``,
                 ``EvacuationsLearnt``, ``ProbeEnded``, ``SuspectsLearnt``,
-                ``TrialDecided``.
+                ``TrialDecided``, ``FromPeer``, ``PeerUp``, ``PeerDown``.
 
         Returns:
             ``StartAttempt``, ``CancelAttempt``, ``CloseIdle``, ``Respond``,
             ``SlowSeen``, ``ProbeSearcher``, ``SuspectsSeen``,
-            ``TrialWanted``, ``TrialUnused`` and ``StandingChanged``.
+            ``TrialWanted``, ``TrialUnused``, ``StandingChanged``, ``ToPeer``,
+            ``PartOpened`` and ``PartClosed``.
         """
         tables = self.tables
         tables.now = tables.due_at = now
         tables.started_at = min(tables.started_at, now)
         tables.out = []
-        for msg in msgs:
+        for msg in partintake.without_dropped(msgs):
             self._take(msg)
         tables.run_timers()
         while tables.to_review:
@@ -147,7 +149,7 @@
         if isinstance(msg, AttemptEnded):
             self._take_ended(msg)
         elif isinstance(msg, Arrived):
-            self._take_arrived(msg)
+            arrivals.take(self.tables, msg)
         elif isinstance(msg, CallerGone):
             request = self.tables.requests.get(msg.token)
             if request is not None:
@@ -168,6 +170,23 @@
                 evidence.take_told(self.tables, row)
         elif isinstance(msg, TrialDecided):
             trials.take_decided(self.tables, msg)
+        elif isinstance(msg, FromPeer):
+            self._take_from_peer(msg.name, msg.payload)
+        elif isinstance(msg, PeerUp):
+            delegating.take_up(self.tables, msg.name)
+        elif isinstance(msg, PeerDown):
+            delegating.take_down(self.tables, msg.name)
+            partintake.take_down(self.tables, msg.name)
+
+    def _take_from_peer(self, name: str, msg: object) -> None:
+        if isinstance(msg, AskPart):
+            partintake.take_ask(self.tables, name, msg)
+        elif isinstance(msg, PartDropped):
+            partintake.take_dropped(self.tables, name, msg)
+        elif isinstance(msg, PartTaken):
+            delegating.take_taken(self.tables, name, msg)
+        elif isinstance(msg, PartAnswered):
+            delegating.take_answered(self.tables, name, msg)
 
     def _take_ended(self, msg: AttemptEnded) -> None:
         attempt = self.tables.attempts.get(msg.attempt_id)
@@ -177,117 +196,3 @@
         elif leg is not None:
             outcome = msg.outcome
             completion.end_leg(self.tables, leg, outcome, stale=msg.stale)
-
-    def _take_arrived(self, msg: Arrived) -> None:
-        tables = self.tables
-        request = self._open(msg)
-        tables.requests[msg.token] = request
-        if tables.now >= request.ends_at:
-            completion.finish(tables, request, Ending.NOT_RUN_DEADLINE)
-            return
-        if trialtable.is_refused(tables, request.fingerprint):
-            completion.finish(tables, request, Ending.NOT_RUN_QUARANTINED)
-            return
-        if not self._can_serve(request):
-            completion.finish(tables, request, Ending.NOT_RUN_NO_SEARCHER)
-            return
-        if evidence.is_suspect(tables, request.fingerprint):
-            trials.hold(tables, request)
-        else:
-            starting.start(tables, request)
-        if not request.done:
-            self._arm(request)
-
-    def _open(self, msg: Arrived) -> Request:
-        """Makes the row, with the times by which it must end."""
-        tables = self.tables
-        route = msg.route
-        now = tables.now
-        waited = 0.0
-        trip = self._caller_trip_s(msg)
-        ends_at = now + route.time_limit_s - END_MARGIN_S
-        if msg.patience_s is not None:
-            # A caller that comes again has less patience left than others on
-            # this route; the difference is what it has waited already.
-            most = max(tables.patience.get(route.name, 0.0), msg.patience_s)
-            tables.patience[route.name] = most
-            waited = most - msg.patience_s
-            ends_at = min(ends_at, now + msg.patience_s - trip / 2)
-        left = route.objective_s - waited - trip
-        left -= tables.leaving.margin_s(route.objective_s)
-        if left <= 0:
-            # Late already: a whole answer is worth one more objective.
-            left = route.objective_s
-        request = Request(
-            token=msg.token,
-            request_id=msg.request_id,
-            route=route,
-            arrived_at=now,
-            give_at=min(ends_at, now + left),
-            ends_at=ends_at,
-            fingerprint=msg.fingerprint,
-        )
-        request.legs = [Leg(request, name) for name in self._services(route)]
-        return request
-
-    def _caller_trip_s(self, msg: Arrived) -> float:
-        """Returns what the caller's clock runs while nothing is asked here."""
-        policy = self.tables.policy
-        way = policy.caller_way_s if msg.way_s is None else msg.way_s
-        most = policy.most_way_share * msg.route.objective_s
-        return min(way, most) + policy.caller_read_s
-
-    def _services(self, route) -> tuple[str, ...]:
-        if route.gather is not None:
-            return route.gather.services
-        if len(route.split) == 1:
-            return (route.split[0].service,)
-        weights = [part.weight for part in route.split]
-        part = self.tables.rng.choices(route.split, weights)[0]
-        return (part.service,)
-
-    def _can_serve(self, request: Request) -> bool:
-        """Whether enough services have a searcher, before any is asked.
-
-        When all searchers of a shard are down, an answer below the floor
-        would be made of work that is thrown away.
-        """
-        usable = sum(
-            choosing.has_usable(self.tables, leg.service)
-            for leg in request.legs
-        )
-        if request.route.gather is None:
-            return usable > 0
-        return completion.is_enough(request, usable)
-
-    def _arm(self, request: Request) -> None:
-        tables = self.tables
-        look = partial(completion.look, tables, request)
-        if request.route.gather is not None:
-            tables.set_timer(request.give_at, look)
-        else:
-            busy = tables.policy.busy_share * request.route.objective_s
-            at = tables.now + busy
-            tables.set_timer(at, partial(self._end_busy, request))
-        tables.set_timer(request.ends_at, partial(self._end, request))
-
-    def _end_busy(self, request: Request) -> None:
-        """Refuses what found no place in good time, so that it can go on."""
-        if not request.done and not request.sends:
-            completion.finish(self.tables, request, _unsent_ending(request))
-
-    def _end(self, request: Request) -> None:
-        if request.done:
-            return
-        is_gather = request.route.gather is not None
-        if is_gather and completion.is_enough(request, request.answered):
-            completion.finish(self.tables, request, Ending.PARTIAL)
-        elif request.sends:
-            completion.finish(self.tables, request, Ending.NO_ANSWER)
-        else:
-            completion.finish(self.tables, request, _unsent_ending(request))
-
-
-def _unsent_ending(request: Request) -> Ending:
-    held = request.is_held
-    return Ending.NOT_RUN_SUSPECT if held else Ending.NOT_RUN_BUSY
--- a/greengagemoor/forward/ended.py
+++ b/greengagemoor/forward/ended.py
@@ -7,6 +7,10 @@
 from greengagemoor.forward import choosing, evidence, proof, sending
 from greengagemoor.forward.messages import Outcome, Step, StepKind
 
+SIZE_SMOOTHING = 0.05
+FRAMING_BYTES = 100
+"""Status line, ends of lines, and what the network adds to a packet."""
+
 if TYPE_CHECKING:
     from greengagemoor.forward.messages import AttemptEnded, SearcherAnswer
     from greengagemoor.forward.tables import Attempt, Leg, Tables
@@ -79,12 +83,24 @@
     tables: Tables, attempt: Attempt, answer: SearcherAnswer
 ) -> None:
     leg = attempt.leg
+    _note_size(tables, leg, answer)
     if not is_good(answer):
         leg.failure = answer
     elif leg.answer is None:
         leg.take(answer, attempt.searcher.searcher_id, tables.now)
 
 
+def _note_size(tables: Tables, leg: Leg, answer: SearcherAnswer) -> None:
+    """Learns how many bytes an answer takes on this entry's link."""
+    if leg.request.route.gather is None:
+        return
+    heads = sum(len(name) + len(value) for name, value in answer.headers)
+    size = len(answer.body) + heads + FRAMING_BYTES
+    known = tables.answer_bytes.get(leg.request.route.name, float(size))
+    known += SIZE_SMOOTHING * (size - known)
+    tables.answer_bytes[leg.request.route.name] = known
+
+
 def is_good(answer: SearcherAnswer) -> bool:
     """Whether an answer is a success that its searcher signed."""
     return (
--- a/greengagemoor/forward/entrydecider.py
+++ b/greengagemoor/forward/entrydecider.py
@@ -19,7 +19,7 @@
     import random
     from collections.abc import Iterable
 
-    from greengagemoor.forward.tables import Policy
+    from greengagemoor.forward.policy import Policy
 
 _FOR_VIEW = (feed.LinkUp, feed.LinkDown, Received)
 _FOR_FORWARD = (
@@ -53,7 +53,9 @@
         """
         self.forward = ForwardDecider(me.data_centre, rng, policy, me.name)
         suspects = self.forward.tables.suspects
-        self.view = View(me.name, me.address, me.data_centre, suspects)
+        self.view = View(
+            me.name, me.address, me.data_centre, suspects, me.peer_address
+        )
         self._claims = TrialClaims(me.name, rng)
 
     def step(self, now: float, msgs: Iterable[object]) -> list:
@@ -72,6 +74,7 @@
             mine.append(msg)
         out = self._step_view(now, feed_msgs)
         out += self._step_claims(now, filter(_is_reply, feed_msgs))
+        self.forward.tables.takes_parts = self.view.me.ready
         learnt = [msg for msg in out if isinstance(msg, _FOR_FORWARD)]
         return out + self._step_forward(now, learnt + forward_msgs)
 
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -63,6 +63,7 @@
 
     SENT = "sent"
     SENT_BESIDE = "sent_beside"
+    SHARED = "shared"
     WAITS = "waits"
     HELD = "held"
     TRIAL = "trial"
--- /dev/null
+++ b/greengagemoor/forward/partintake.py
@@ -0,0 +1,138 @@
+"""Takes in the parts of queries that other entries hand out."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from greengagemoor.forward import completion, evidence, starting, trialtable
+from greengagemoor.forward.messages import Ending
+from greengagemoor.forward.partmessages import (
+    AskPart,
+    FromPeer,
+    PartAnswered,
+    PartDropped,
+    PartOpened,
+    PartTaken,
+    PeerDown,
+    ToPeer,
+)
+from greengagemoor.forward.parts import Origin
+from greengagemoor.forward.tables import Leg, Request
+from greengagemoor.routing.routes import Gather, Grade, Route
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from greengagemoor.forward.tables import Tables
+
+
+def without_dropped(msgs: Iterable[object]) -> list[object]:
+    """Leaves out parts that were asked for and dropped in the same tick.
+
+    A frozen entry reads both when it wakes; its searchers would get requests
+    whose callers have long gone.
+    """
+    msgs = list(msgs)
+    dropped = {
+        (msg.name, msg.payload.part_id)
+        for msg in msgs
+        if isinstance(msg, FromPeer) and isinstance(msg.payload, PartDropped)
+    }
+    gone = {msg.name for msg in msgs if isinstance(msg, PeerDown)}
+    if not dropped and not gone:
+        return msgs
+    return [msg for msg in msgs if not _is_over(msg, dropped, gone)]
+
+
+def _is_over(
+    msg: object, dropped: set[tuple[str, int]], gone: set[str]
+) -> bool:
+    if not isinstance(msg, FromPeer) or not isinstance(msg.payload, AskPart):
+        return False
+    return msg.name in gone or (msg.name, msg.payload.part_id) in dropped
+
+
+def take_ask(tables: Tables, peer: str, msg: AskPart) -> None:
+    """Asks some shards for another entry, or refuses at once."""
+    if (peer, msg.part_id) in tables.origins:
+        return
+    if not _may_take(tables, msg):
+        refused = PartAnswered(msg.part_id, over=True, refused=True)
+        tables.out.append(ToPeer(peer, refused))
+        return
+    request = _open(tables, peer, msg)
+    tables.requests[request.token] = request
+    tables.origins[(peer, msg.part_id)] = request
+    tables.out.append(PartOpened(request.token, msg.copy))
+    tables.out.append(ToPeer(peer, PartTaken(msg.part_id)))
+    starting.start(tables, request)
+    if not request.done:
+        look = partial(completion.look, tables, request)
+        tables.set_timer(request.give_at, look)
+        tables.set_timer(request.ends_at, partial(_end, tables, request))
+
+
+def _may_take(tables: Tables, msg: AskPart) -> bool:
+    """Whether what is known here is enough, and the request harmless."""
+    if not tables.takes_parts or msg.end_in_s <= 0:
+        return False
+    if trialtable.is_refused(tables, msg.fingerprint):
+        return False
+    return not evidence.is_suspect(tables, msg.fingerprint)
+
+
+def _open(tables: Tables, peer: str, msg: AskPart) -> Request:
+    now = tables.now
+    route = Route(
+        name=msg.route,
+        host="",
+        prefix="",
+        grade=Grade.REPEATABLE,
+        time_limit_s=msg.end_in_s,
+        objective_s=msg.objective_s,
+        rank=msg.rank,
+        attempts=msg.attempts,
+        gather=Gather(msg.services, msg.top, 0.0),
+    )
+    request = Request(
+        token=-next(tables.ids),
+        request_id=msg.request_id,
+        route=route,
+        arrived_at=now,
+        give_at=now + msg.give_in_s,
+        ends_at=now + msg.end_in_s,
+        fingerprint=msg.fingerprint,
+        origin=Origin(peer, msg.part_id),
+        hedge_from=now + msg.hedge_in_s,
+    )
+    request.legs = [Leg(request, name) for name in msg.services]
+    return request
+
+
+def _end(tables: Tables, request: Request) -> None:
+    if not request.done:
+        completion.finish(tables, request, Ending.NO_ANSWER)
+
+
+def take_dropped(tables: Tables, peer: str, msg: PartDropped) -> None:
+    """Lets go of a part that is no longer wanted."""
+    request = tables.origins.get((peer, msg.part_id))
+    if request is not None:
+        _drop(tables, request, answered=msg.answered)
+
+
+def take_down(tables: Tables, peer: str) -> None:
+    """Lets go of all parts of an entry that can't be told of them."""
+    mine = [
+        request for (name, _), request in tables.origins.items() if name == peer
+    ]
+    for request in mine:
+        _drop(tables, request, answered=False)
+
+
+def _drop(tables: Tables, request: Request, *, answered: bool) -> None:
+    # Sends may linger where the caller has its answer.
+    request.is_dropped = True
+    ending = Ending.PARTIAL if answered else Ending.CALLER_GONE
+    completion.finish(tables, request, ending)
--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -140,7 +140,9 @@
 
 
 def _arm_hedge(tables: Tables, leg: Leg) -> None:
-    at = tables.now + hedge_delay(tables, leg.request.route)
+    request = leg.request
+    at = tables.now + hedge_delay(tables, request.route)
+    at = max(at, request.hedge_from)
     tables.set_timer(at, partial(_hedge, tables, leg, leg.sends))
 
 
--- a/greengagemoor/forward/starting.py
+++ b/greengagemoor/forward/starting.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from greengagemoor.forward import choosing, completion, sending
+from greengagemoor.forward import (
+    choosing,
+    completion,
+    delegating,
+    sending,
+)
 
 if TYPE_CHECKING:
     from greengagemoor.forward.tables import Request, Tables
@@ -12,6 +17,7 @@
 
 def start(tables: Tables, request: Request) -> None:
     """Sends each leg that was not sent yet, and looks whether it is over."""
+    delegating.hand_out(tables, request)
     for leg in request.legs:
         if leg.sends or not leg.is_open:
             continue
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -16,13 +16,14 @@
 from greengagemoor.forward.budget import SendBudget
 from greengagemoor.forward.leaving import LeavingDelay
 from greengagemoor.forward.timing import RouteTimes, Slowness
-from greengagemoor.util import values
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from greengagemoor.forward.evidence import PossibleEnd
     from greengagemoor.forward.messages import Outcome, SearcherAnswer, Step
+    from greengagemoor.forward.parts import Helper, Origin, Part
+    from greengagemoor.forward.policy import Policy
     from greengagemoor.forward.trialtable import Trial
     from greengagemoor.routing.routes import Route, ServiceRules
 
@@ -30,43 +31,6 @@
 """More searchers than end within the moment in which a trial is judged."""
 
 
-@values.frozen
-class Policy:
-    """Limits and delays of the forward decider; times in seconds.
-
-    Attributes:
-        retry_ratio: second sends for each request of a service.
-        retry_slack: second sends of all entries in each window besides.
-        retry_window_s: the window.
-        hedge_quantile: a send later than this share of the route's answers
-            gets a second one,
-        hedge_medians: or later than so many medians: slow searchers raise the
-            quantile to their own times. 0.84 in place of 0.79 of the credit
-            at 78 entries with one searcher in seven slow (bench.gathers).
-        caller_way_s: what a caller's clock spends on the network where the
-            system doesn't tell the round trip: a connection and two ways.
-        caller_read_s: the same until a busy process reads what is there.
-        most_way_share: share of an objective that the way may take: behind a
-            link that loses packets it would leave no time for searchers.
-        linger_s: how long a send whose answer is no longer needed may go on
-            before its connection is closed.
-        busy_share: share of the objective that a request waits for a place.
-        places: the number of entries that share a connection cap, at least.
-    """
-
-    retry_ratio: float = 0.17
-    retry_slack: float = 20.0
-    retry_window_s: float = 10.0
-    hedge_quantile: float = 0.9
-    hedge_medians: float = 2.0
-    caller_way_s: float = 0.012
-    caller_read_s: float = 0.004
-    most_way_share: float = 0.25
-    linger_s: float = 0.03
-    busy_share: float = 0.2
-    places: int = 10
-
-
 @attrs.define(eq=False, repr=False)
 class Searcher:
     """One start of a searcher, as this entry sees it.
@@ -125,6 +89,7 @@
     Attributes:
         runs: sends that may have run.
         broken_by: whose connection broke last, before any byte of an answer.
+        helper: the entry that asks it, if it isn't asked from here.
         dead: nothing more will be sent, and no send is under way.
     """
 
@@ -141,6 +106,7 @@
     answered_at: float = 0.0
     failure: SearcherAnswer | None = None
     waiting: bool = False
+    helper: str = ""
     dead: bool = False
     broken: bool = False
 
@@ -175,6 +141,11 @@
         unproved_legs: legs that go out again once a searcher has answered.
         is_held: nothing is sent until a trial of it has succeeded.
         is_trial: the one send that is under way is that trial.
+        hedge_from: nothing is sent a second time before.
+        is_shared: helpers were asked for some of its legs.
+        part_sends: what helpers have sent beyond the first of each leg.
+        origin: for whom this entry asks, if not for a caller.
+        is_dropped: that entry no longer waits for it.
     """
 
     token: int
@@ -193,6 +164,11 @@
     unproved_legs: list[tuple[Leg, Outcome]] = attrs.field(factory=list)
     is_held: bool = False
     is_trial: bool = False
+    hedge_from: float = float("-inf")
+    is_shared: bool = False
+    part_sends: int = 0
+    origin: Origin | None = None
+    is_dropped: bool = False
 
     @property
     def is_open(self) -> bool:
@@ -222,6 +198,12 @@
         recent_ends: those that did, latest last.
         evacuated: data centres whose searchers get nothing.
         recent_suspects: requests that became suspect, and when.
+        link_bytes_per_s: what this entry's link carries, 0 if not known.
+        answer_bytes: of an answer with its head, usually, by route.
+        takes_parts: whether other entries may hand parts to this one.
+        helpers: other entries with a link, by name.
+        parts: what helpers were asked for and have not ended.
+        origins: what this entry asks for others, by name and part.
         unreported: requests whose rows control has not been told, and whether
             it knew of them before.
         to_review: requests whose standing may have changed.
@@ -259,6 +241,13 @@
     unreported: dict[bytes, bool] = attrs.field(factory=dict)
     to_review: set[bytes] = attrs.field(factory=set)
     trials: dict[bytes, Trial] = attrs.field(factory=dict)
+    link_bytes_per_s: float = 0.0
+    answer_bytes: dict[str, float] = attrs.field(factory=dict)
+    takes_parts: bool = False
+    helpers: dict[str, Helper] = attrs.field(factory=dict)
+    parts: dict[int, Part] = attrs.field(factory=dict)
+    part_times: dict[str, RouteTimes] = attrs.field(factory=dict)
+    origins: dict[tuple[str, int], Request] = attrs.field(factory=dict)
     ids: count = attrs.field(factory=lambda: count(1))
     timers: list = attrs.field(factory=list)
 
@@ -291,6 +280,14 @@
             self.times[route.name] = times
         return times
 
+    def times_of_parts(self, route: Route) -> RouteTimes:
+        """Returns what parts of the route's queries usually take."""
+        times = self.part_times.get(route.name)
+        if times is None:
+            times = RouteTimes(route.objective_s / 2)
+            self.part_times[route.name] = times
+        return times
+
     def set_timer(self, at: float, call: Callable[[], None]) -> None:
         """Calls ``call`` in the first tick from ``at`` on."""
         heapq.heappush(self.timers, (at, next(self.ids), call))
--- a/greengagemoor/logfields.py
+++ b/greengagemoor/logfields.py
@@ -33,6 +33,7 @@
     "searcher_slow": "several entries find a searcher slow; it is avoided",
     "request_standing": "a request is suspect, quarantined or cleared from now",
     "answer": "a request has its final answer",
+    "part": "shards that this process has asked for another entry",
     "step": "a decision on the way of a request that did not go as expected",
     "no_route": "a request that no route allows",
     "bad_call": "a call to a control instance is malformed",
@@ -106,6 +107,8 @@
     "note": "how a send ended: a status, or why there was none",
     "member": "instance and identity of the data folder",
     "entries": "log entries found in the data folder",
+    "shards": "how many shards were asked for",
+    "answered": "how many of them have answered",
     "number": "how many; of an evacuation: grows with each order",
     "for_s": "seconds",
 }
--- a/greengagemoor/platform/boot.py
+++ b/greengagemoor/platform/boot.py
@@ -14,6 +14,7 @@
 BOOT_VARIABLE = "GREENGAGEMOOR_BOOT"
 CALLER_ADDRESS = "listen-addrs.front"
 ZONE_PREFIX = "zones."
+BYTES_PER_S_OF_MBPS = 125_000
 METRICS_PORT = 9464
 """As in the deploy file, which names it to the platform."""
 DEFAULT_PATH = "/etc/greengagemoor/boot.conf"
@@ -84,6 +85,8 @@
         retry_ratio=float(fields.get("bounds.retry-budget-ratio", "0.2")),
         retry_slack=float(fields.get("bounds.retry-budget-slack", "20")),
         retry_window_s=float(fields.get("bounds.budget-window-s", "10")),
+        link_bytes_per_s=float(fields.get("limits.link-mbps", "0"))
+        * BYTES_PER_S_OF_MBPS,
         data_centres=tuple(
             key.removeprefix(ZONE_PREFIX)
             for key in fields
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -18,6 +18,7 @@
 from greengagemoor.control.messages import Send
 from greengagemoor.errors import DocumentError
 from greengagemoor.feed import messages as feed
+from greengagemoor.forward import partmessages as parts
 from greengagemoor.forward.entrydecider import EntryDecider
 from greengagemoor.forward.messages import (
     AnswerLeft,
@@ -32,12 +33,13 @@
     Respond,
     StartAttempt,
 )
-from greengagemoor.forward.tables import Policy
+from greengagemoor.forward.policy import Policy
 from greengagemoor.routing import routes
 from greengagemoor.serving import beliefs
 from greengagemoor.serving.health import Health
 from greengagemoor.serving.identity import identify
 from greengagemoor.serving.metrics import ServingMetrics
+from greengagemoor.serving.peers import Peers
 from greengagemoor.serving.requestlog import RequestLog
 from greengagemoor.serving.ticker import Ticker
 from greengagemoor.shell.clock import Clock
@@ -85,11 +87,16 @@
         )
         self._dialect = dialect
         me = feed.Subscribe(
-            cfg.instance, cfg.caller_address, cfg.data_centre, ready=False
+            cfg.instance,
+            cfg.caller_address,
+            cfg.data_centre,
+            ready=False,
+            peer_address=cfg.peer_address,
         )
         self._decider = EntryDecider(me, rng, policy)
         self._view = self._decider.view
         self._forward = self._decider.forward
+        self._forward.tables.link_bytes_per_s = cfg.link_bytes_per_s
         self._table: routes.RouteTable | None = None
         self._ticker = Ticker(self.clock, self._tick)
         self._links = Links(cfg.instance, "", self._ticker.put)
@@ -100,6 +107,9 @@
         self._tokens = count(1)
         self._requests: dict[int, HttpRequest] = {}
         self._sends: dict[int, Sending] = {}
+        self._peers = Peers(
+            cfg.instance, cfg.peer_address, self._ticker.put, self._requests
+        )
         self._request_log = RequestLog()
         self._standing_log = beliefs.StandingLog()
         self._metrics = ServingMetrics(self._gauges)
@@ -117,6 +127,7 @@
     async def start(self) -> None:
         """Listens, and asks the seeds for everything else."""
         await self._links.start()
+        await self._peers.start()
         self._want_links()
         for server in self._servers:
             await server.start()
@@ -223,6 +234,14 @@
             self._respond(msg)
         elif isinstance(msg, Send):
             self._links.send(msg)
+        elif isinstance(msg, parts.ToPeer):
+            self._peers.send(msg)
+        elif isinstance(msg, parts.PartOpened):
+            self._peers.open(msg)
+        elif isinstance(msg, parts.PartClosed):
+            self._peers.close(self.clock.now(), msg)
+        elif isinstance(msg, feed.HelpersLearnt):
+            self._peers.want(msg.helpers)
         elif isinstance(msg, CloseIdle):
             self._pool.close_address(msg.address)
         elif isinstance(msg, ProbeSearcher):
@@ -288,6 +307,7 @@
             "entries_known": self._view.entries,
             "links": len(self._links.open),
             "link_bytes_sent_total": self._links.sent_bytes,
+            "peer_bytes_sent_total": self._peers.sent_bytes,
             "searcher_connections_opened_total": self._pool.opened,
             "caller_connections": len(self._callers.conns),
             "tick_failures_total": self._ticker.failures,
--- a/greengagemoor/serving/inboxes.py
+++ b/greengagemoor/serving/inboxes.py
@@ -15,6 +15,7 @@
     feed.SlowReport,
     feed.WantNumbered,
     feed.SuspectRows,
+    feed.WantHelpers,
 )
 _HUB_MESSAGES = (
     feed.Announced,
--- a/greengagemoor/serving/settings.py
+++ b/greengagemoor/serving/settings.py
@@ -35,6 +35,7 @@
         retry_slack: second sends allowed besides, of all entries to one
             service in each window.
         retry_window_s: length of that window.
+        link_bytes_per_s: what this process's link carries, 0 if not told.
         data_centres: all that there are, () if that isn't told.
     """
 
@@ -59,6 +60,9 @@
     retry_window_s: float = attrs.field(
         default=10.0, validator=in_range(0.1, 3600.0)
     )
+    link_bytes_per_s: float = attrs.field(
+        default=0.0, validator=in_range(0, 1e12)
+    )
     data_centres: tuple[str, ...] = ()
     seed: int = 0
 
--- a/greengagemoor/wire/codec.py
+++ b/greengagemoor/wire/codec.py
@@ -27,6 +27,7 @@
     "greengagemoor.control.messages",
     "greengagemoor.control.commands",
     "greengagemoor.feed.messages",
+    "greengagemoor.forward.partmessages",
     "greengagemoor.membership.messages",
     "greengagemoor.membership.rows",
     "greengagemoor.backends",
--- a/tests/test_feed/test_shares.py
+++ b/tests/test_feed/test_shares.py
@@ -12,7 +12,8 @@
 from greengagemoor.feed.timing import Timing
 from greengagemoor.feed.view import View
 from greengagemoor.forward import searchers
-from greengagemoor.forward.tables import Policy, Tables
+from greengagemoor.forward.policy import Policy
+from greengagemoor.forward.tables import Tables
 from greengagemoor.routing.routes import ServiceRules
 from greengagemoor.serving.entry import ALLOWANCE_SHARE
 
--- a/tests/test_forward/helpers.py
+++ b/tests/test_forward/helpers.py
@@ -11,7 +11,7 @@
 )
 from greengagemoor.forward import messages as m
 from greengagemoor.forward.decider import ForwardDecider
-from greengagemoor.forward.tables import Policy
+from greengagemoor.forward.policy import Policy
 from greengagemoor.routing.routes import (
     Gather,
     Grade,
