--- a/greengagemoor/forward/arrivals.py
+++ b/greengagemoor/forward/arrivals.py
@@ -13,15 +13,18 @@
     trials,
     trialtable,
 )
+from greengagemoor.forward.mergers import RECORD_BYTES
 from greengagemoor.forward.messages import Ending
 from greengagemoor.forward.tables import Leg, Request
 
 if TYPE_CHECKING:
     from greengagemoor.forward.messages import Arrived
-    from greengagemoor.forward.policy import Policy
     from greengagemoor.forward.tables import Tables
     from greengagemoor.routing.routes import Route
 
+SIGNATURE_BYTES = 32
+HEAD_BYTES = 300
+"""Of an answer: its status line, headers, and what the network adds."""
 END_MARGIN_S = 0.01
 """An answer leaves this long before the caller gives up."""
 
@@ -52,7 +55,7 @@
     route = msg.route
     now = tables.now
     waited = 0.0
-    trip = _caller_trip_s(tables.policy, msg)
+    trip = _caller_trip_s(tables, msg)
     ends_at = now + route.time_limit_s - END_MARGIN_S
     if msg.patience_s is not None:
         # A caller that comes again has less patience left than others on
@@ -79,11 +82,22 @@
     return request
 
 
-def _caller_trip_s(policy: Policy, msg: Arrived) -> float:
+def _caller_trip_s(tables: Tables, msg: Arrived) -> float:
     """Returns what the caller's clock runs while nothing is asked here."""
+    policy = tables.policy
     way = policy.caller_way_s if msg.way_s is None else msg.way_s
     most = policy.most_way_share * msg.route.objective_s
-    return min(way, most) + policy.caller_read_s
+    way = min(way + _sending_s(tables, msg.route), most)
+    return way + policy.caller_read_s
+
+
+def _sending_s(tables: Tables, route: Route) -> float:
+    """Returns how long the answer to a gather keeps the own link busy."""
+    if route.gather is None or not tables.link_bytes_per_s:
+        return 0.0
+    records = RECORD_BYTES * route.gather.top
+    heads = HEAD_BYTES + SIGNATURE_BYTES * len(route.gather.services)
+    return (records + heads) / tables.link_bytes_per_s
 
 
 def _services(tables: Tables, route: Route) -> tuple[str, ...]:
