The soak evacuates data centres, and asks for queries that entries share

Searchers stand in three data centres; an evacuated one gets nothing 5 s after the acknowledgement from entries that nothing disturbed. A route over twenty shards, behind links that are slow by the settings, is checked like the other.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,12 +12,12 @@
 
 from greengagemoor import log
 from soak import faults
-from soak.callers import SERVICES, Caller, Operator
+from soak.callers import SERVICES, WIDE, Caller, Operator
 from soak.harm import BACK_S, EVERY_S, TARGET, pick_prefix
 from soak.searchers import Searcher
-from soak.world import World
+from soak.world import PLACES, World
 
-CONTROLS, ENTRIES, REPLICAS = 3, 3, 3
+CONTROLS, ENTRIES = 3, 3
 START_S = 15.0
 CALM_S = 8.0
 RECOVERED_SHARE = 0.9
@@ -36,6 +36,7 @@
         self.searchers: list[Searcher] = []
         self.events: list[str] = []
         self.crashes = 0
+        self.evacuating: set[str] = set()
         self._ports = 8080
 
     async def play(self) -> list[str]:
@@ -45,8 +46,11 @@
             for machine in self.world.machines:
                 self.world.start(machine)
             for service in SERVICES:
-                for _ in range(REPLICAS):
-                    await self.add_searcher(service)
+                for place in PLACES:
+                    await self.add_searcher(service, place=place)
+            for service in WIDE[len(SERVICES) :]:
+                for place in PLACES[:2]:
+                    await self.add_searcher(service, place=place)
             await self._until(self.operator.put, "no document was accepted")
             await self._until(self._served, "nothing was served at first")
             tasks = [
@@ -85,14 +89,17 @@
         self.world.faults += [f"{key}: a booking ran twice" for key in twice]
 
     async def add_searcher(
-        self, service: str, again: Searcher | None = None
+        self,
+        service: str,
+        again: Searcher | None = None,
+        place: str = PLACES[0],
     ) -> None:
         """Starts a searcher at a new address, or one that has ended again."""
         self._ports += 1
         address = f"127.{10 + self.seed % 200}.3.1:{self._ports}"
         if again is not None:
-            address = again.address
-        searcher = Searcher(self.world, service, address, self.rng)
+            address, place = again.address, again.data_centre
+        searcher = Searcher(self.world, service, address, self.rng, place)
         if again is not None:
             searcher.searcher_id = again.searcher_id
         await searcher.start()
@@ -115,7 +122,8 @@
         while True:
             if self.rng.random() < 0.1:
                 await self.caller.look_up()
-            prefix = "/once/" if self.rng.random() < 0.3 else "/all/"
+            prefixes = ("/once/", "/all/", "/wide/")
+            (prefix,) = self.rng.choices(prefixes, (0.3, 0.4, 0.3))
             await self.caller.ask(prefix)
 
     async def _harm(self) -> None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,9 @@
 
 HOST = "h.example"
 SERVICES = tuple(f"s{i}" for i in range(4))
+WIDE = (*SERVICES, *(f"w{i}" for i in range(16)))
+"""So many shards that entries share them."""
+GATHERS = {"/all/": SERVICES, "/wide/": WIDE}
 TOP = 5
 LEAST = 0.75
 PATIENCE_MS = 1500
@@ -34,17 +37,20 @@
         "target-latency-ms": 300,
         "max-attempts": 2,
     }
-    gather = {"gather": SERVICES, "top-k": TOP, "min-coverage": LEAST}
+    gather = {"top-k": TOP, "min-coverage": LEAST, "route-type": "safe"}
     return {
         "version": version,
         "routes": [
-            {
-                **route,
-                **gather,
-                "name": "all",
-                "path-prefix": "/all/",
-                "route-type": "safe",
-            },
+            *(
+                {
+                    **route,
+                    **gather,
+                    "name": prefix.strip("/"),
+                    "path-prefix": prefix,
+                    "gather": services,
+                }
+                for prefix, services in GATHERS.items()
+            ),
             {
                 **route,
                 "name": "once",
@@ -60,7 +66,7 @@
                 "backend": "s1",
             },
         ],
-        "services": [{"name": s, "max-conns": 40} for s in SERVICES],
+        "services": [{"name": s, "max-conns": 40} for s in WIDE],
     }
 
 
@@ -90,6 +96,17 @@
                 self._world.faults.append(f"a valid put got {end.status}")
         return False
 
+    async def order(self, data_centre: str, name: str) -> bool:
+        """Evacuates a data centre, or takes that back, at any instance."""
+        path = f"/v1/evacuation/{data_centre}/{name}"
+        for address in self._world.control_addresses(self._rng):
+            end = await call(self._pool, address, "POST", path)
+            if end is not None and end.status == 200:
+                return True
+            if end is not None and end.status < 500:
+                self._world.faults.append(f"an order got {end.status}")
+        return False
+
     async def read(self) -> int | None:
         """Reads at one instance; it may not know, but never be behind."""
         before = self.acknowledged
@@ -151,8 +168,8 @@
         return status
 
     def _check(self, prefix: str, request_id: str, end, status: int) -> None:
-        if prefix == "/all/" and status == 200:
-            self._check_merged(request_id, end)
+        if prefix in GATHERS and status == 200:
+            self._check_merged(request_id, end, GATHERS[prefix])
         elif status == 200:
             service = {"/once/": "s0"}.get(prefix, "s1")
             if end.body != records(request_id, service):
@@ -162,7 +179,7 @@
         if prefix == "/once/" and status in (429, 503):
             self._refused.append(request_id)
 
-    def _check_merged(self, request_id: str, end) -> None:
+    def _check_merged(self, request_id: str, end, shards) -> None:
         headers = {k.lower().decode(): v.decode() for k, v in end.headers}
         stamps = headers["part-stamps"].split(", ")
         services = [stamp.partition(".")[0] for stamp in stamps]
@@ -172,9 +189,9 @@
             for s, stamp in zip(services, stamps, strict=True)
         ):
             self._fault(request_id, "a signature of another request")
-        if len(set(services)) + missing != len(SERVICES):
+        if len(set(services)) + missing != len(shards):
             self._fault(request_id, "parts and missing don't make up the set")
-        if len(services) < LEAST * len(SERVICES):
+        if len(services) < LEAST * len(shards):
             self._fault(request_id, "below the coverage floor")
         parts = (records(request_id, service) for service in services)
         if end.body != merge_greatest(parts, TOP):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,8 @@
 import signal
 from typing import TYPE_CHECKING
 
+from soak.world import PLACES
+
 if TYPE_CHECKING:
     from soak.__main__ import Run
 
@@ -77,17 +79,35 @@
     searcher.stop()
     run.crashes += 1
     again = searcher if run.crashes % 2 else None
-    await run.add_searcher(searcher.service, again)
+    await run.add_searcher(searcher.service, again, searcher.data_centre)
 
 
 async def drain_searcher(run: Run) -> None:
     """A searcher leaves in order; another one starts elsewhere."""
     searcher = run.rng.choice(run.searchers)
     run.searchers.remove(searcher)
-    await run.add_searcher(searcher.service)
+    await run.add_searcher(searcher.service, place=searcher.data_centre)
     await searcher.drain()
 
 
+async def evacuate(run: Run) -> None:
+    """A data centre gets nothing for some seconds."""
+    place = run.rng.choice(PLACES)
+    if place in run.evacuating:
+        return
+    run.evacuating.add(place)
+    try:
+        while not await run.operator.order(place, "start"):
+            await asyncio.sleep(0.1)
+        run.world.evacuated[place] = asyncio.get_running_loop().time()
+        await asyncio.sleep(run.rng.uniform(1.0, 8.0))
+        run.world.evacuated.pop(place)
+        while not await run.operator.order(place, "finish"):
+            await asyncio.sleep(0.1)
+    finally:
+        run.evacuating.discard(place)
+
+
 ALL = (
     kill,
     kill_all_control,
@@ -99,4 +119,5 @@
     slow_searcher,
     crash_searcher,
     drain_searcher,
+    evacuate,
 )
--- a/soak/searchers.py
+++ b/soak/searchers.py
@@ -67,10 +67,18 @@
 class Searcher:
     """One start of a searcher; it may be slow, and it may leave."""
 
-    def __init__(self, world, service: str, address: str, rng: random.Random):
+    def __init__(
+        self,
+        world,
+        service: str,
+        address: str,
+        rng: random.Random,
+        data_centre: str = "dc1",
+    ):
         self.world = world
         self.service = service
         self.address = address
+        self.data_centre = data_centre
         self.rng = rng
         self.searcher_id = f"i-{rng.getrandbits(40):010x}"
         self.born = time.time_ns() // 1_000_000
@@ -101,7 +109,7 @@
         body = {
             "backend": self.service,
             "address": self.address,
-            "zone": "dc1",
+            "zone": self.data_centre,
             "version": "v1",
             "born": self.born,
             "slots": 4,
@@ -125,6 +133,7 @@
             return
         request_id = req.header(b"request-id") or ""
         self.world.check_drain(self, loop.time())
+        self.world.check_evacuated(self, loop.time())
         self.runs[request_id, self.service] += 1
         self.own_runs += 1
         if req.path.endswith(TARGET):
--- a/soak/world.py
+++ b/soak/world.py
@@ -24,9 +24,13 @@
     import random
 
 DRAIN_S = 3.0
+EVACUATE_S = 5.0
 PORTS = {"front": 8226, "ready": 8227, "control": 8224, "directory": 8225}
 PEER_PORTS = "7740,7755"
 GRACE_S = 6
+PLACES = ("dc1", "dc2", "dc3")
+LINK_MBPS = 1
+"""So slow, by the settings, that entries share queries over many shards."""
 SEEDS = 3
 
 
@@ -53,6 +57,7 @@
         self.runs: Counter = Counter()
         self.harm = Harm(self)
         self.crashed: list = []
+        self.evacuated: dict[str, float] = {}
         self._pool = Pool()
         self._net = net
         self._controls = controls
@@ -105,6 +110,8 @@
         lines = {
             "ip": machine.ip,
             "zone": "dc1",
+            "limits.link-mbps": LINK_MBPS,
+            **{f"zones.{place}": "here" for place in PLACES},
             "internal-port-range": PEER_PORTS,
             "seed-addrs": ",".join(f"{s}:{PORTS['control']}" for s in seeds),
             "bootstrap": str(machine.bootstrap).lower(),
@@ -188,6 +195,20 @@
                 f"a send {now - since:.1f} s after a drain was acknowledged"
             )
 
+    def check_evacuated(self, searcher, now: float) -> None:
+        """An evacuated data centre gets nothing a few seconds later.
+
+        An entry that was frozen or cut off knows it a moment after it is back.
+        """
+        since = self.evacuated.get(searcher.data_centre)
+        entries = self.of_role("entry")
+        calm = all(self.undisturbed_s(e.ip) > EVACUATE_S for e in entries)
+        if since is not None and calm and now > since + EVACUATE_S:
+            self.faults.append(
+                f"a send {now - since:.1f} s after {searcher.data_centre} "
+                f"was evacuated"
+            )
+
     def check_ends(self) -> None:
         """No process may end by itself."""
         for machine in self.machines:
