--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -144,9 +144,7 @@
 def _pack(data: bytes) -> bytes:
     """Compresses a batch; what goes out to many alike, once.
 
-    After a loss of power all entries get the same rows in the same moment:
-    16 KB of 320 searchers take 0.11 ms to compress and 0.01 to find here, 191
-    times at each control instance.
+    After a loss of power all entries get the same rows in the same moment.
     """
     return zlib.compress(data, PACK_LEVEL)
 
--- a/greengagemoor/feed/history.py
+++ b/greengagemoor/feed/history.py
@@ -16,9 +16,8 @@
     """The newest document, whole or as what differs from an earlier one.
 
     Each entry fetches each document. Operators change a few bytes at a time,
-    so with 200 entries the same text crossed the links between data centres
-    again and again. A change of a document of 1,850 routes is 28.0 KB for each
-    entry whole and 3.4 KB as a difference, of 51 routes 1.8 and 0.2 KB.
+    so sent whole the same text would cross the links between data centres
+    once for each entry and change.
     """
 
     def __init__(self):
--- a/greengagemoor/feed/reads.py
+++ b/greengagemoor/feed/reads.py
@@ -76,10 +76,9 @@
     def _whom(self, linked: list[str]) -> list[str]:
         """Returns who is said to lead, and others in turn.
 
-        After a loss of power 191 entries that each asked nine control
-        instances ten times a second kept these busy while they had to elect
-        one: in the middle an entry had its first link 0.35 s after it
-        listened, and the document 0.38 s after that.
+        After a loss of power all entries ask at the same moment. If each asked
+        all control instances, these would be busy with answers while they have
+        to elect one.
         """
         others = [name for name in linked if name != self._leader]
         start = self._turn % max(1, len(others))
--- a/greengagemoor/feed/slowness.py
+++ b/greengagemoor/feed/slowness.py
@@ -34,7 +34,7 @@
 
     With many entries each one sends to a searcher only every few seconds, so
     each would have to find out by itself, at the cost of a late shard or of a
-    second send: at 78 entries a slow searcher spoilt 78 answers.
+    second send: one slow searcher would spoil an answer of each entry.
     """
 
     def __init__(self):
--- a/greengagemoor/feed/subscribers.py
+++ b/greengagemoor/feed/subscribers.py
@@ -157,7 +157,7 @@
         """Returns the linked entries that take requests.
 
         Each time another one comes first: an answer may name a part only, and
-        14 of 78 entries would otherwise never get a caller.
+        the last entries would otherwise never get a caller.
         """
         entries = self.ready()
         if not entries:
--- a/greengagemoor/forward/budget.py
+++ b/greengagemoor/forward/budget.py
@@ -31,8 +31,7 @@
     seen here and a part of a fixed slack, so the sum over all entries keeps
     to the whole however many there are and however traffic moves between
     them. A bucket would have to count its burst on top of a window's refill,
-    so most of the slack would lie idle: at 78 entries and 64 requests a second
-    it allows 109 second sends a window and service, this 275.
+    so most of the slack would lie idle.
 
     Attributes:
         ratio: second sends for each request.
--- a/greengagemoor/forward/choosing.py
+++ b/greengagemoor/forward/choosing.py
@@ -17,16 +17,13 @@
 """Slowness of a searcher that other entries find slow; the usual trouble makes
 work 4 to 9 times as long."""
 FRESH_S = 1.0
-"""An own answer so lately says more than what others find. With nine entries
-each hears every searcher that often; there, following the others instead cost
-0.013 of worth over six days."""
+"""An own answer so lately says more than what others find."""
 SLOW_RATIO = 3.0
 """A send that takes so many medians of its route counts as slow; two of 100
 sends do so by their own work."""
 RELAX_S = 8.0
 """In this time most of what was learnt of a searcher's slowness fades, so that
-one that recovers gets sends again. Against 4 s: 0.929 of the credit in place of
-0.923 at 78 entries under a slow spell, 0.953 of 0.945 at 8 (bench.gathers)."""
+one that recovers gets sends again."""
 LATE_FACTOR = 2.5
 """A send that takes this many times the usual says that its searcher pauses;
 waiting for the answer to say so costs a pause for each further send."""
@@ -129,10 +126,7 @@
 
     Own sends alone count. What a searcher said of its load is over when the
     next send comes, and all entries hear it: where few searchers of a shard
-    are quick, each entry left them to the others and went to slow ones. Left
-    out, the share of credit is 0.023, 0.006 and 0.007 higher with a third of
-    the searchers slow, and the same on a calm day (bench.experiment, sheets
-    downs, atlas, lockers, eight seeds).
+    are quick, each entry would leave them to the others and go to slow ones.
     """
     busy = len(row.attempts)
     slots = max(1, row.slots)
--- a/greengagemoor/forward/timing.py
+++ b/greengagemoor/forward/timing.py
@@ -19,9 +19,9 @@
 LEAST_WEIGHT = 0.15
 """How much of an answer is taken over where answers are frequent."""
 MEMORY_S = 2.0
-"""An answer this long after the one before it counts for six tenths. At 78
-entries each sees a searcher every four seconds; with 0.15 always, the share of
-credit under a slow spell was 0.82 in place of 0.90 (bench.gathers)."""
+"""An answer this long after the one before it counts for six tenths: with many
+entries each sees a searcher only every few seconds, and by small steps it would
+learn of a slow spell when that is over."""
 
 
 class RouteTimes:
--- a/greengagemoor/wire/codec.py
+++ b/greengagemoor/wire/codec.py
@@ -222,7 +222,7 @@
     """Encodes what many get at the same time once.
 
     After a kill of everything all entries ask a control instance for its rows
-    together: 118 rows take 0.58 ms to encode and 0.07 ms to look up here.
+    together.
     """
     envelope = pb.Envelope()
     _fill_choice(envelope, payload)
