--- a/greengagemoor/forward/aggregating.py
+++ b/greengagemoor/forward/aggregating.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from greengagemoor.forward.mergers import GREATEST_RECORDS, mergers
 from greengagemoor.forward.partmessages import (
     LegEnd,
@@ -13,18 +15,26 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from greengagemoor.forward.tables import Leg, Request, Tables
 
 
 def tell(tables: Tables, request: Request) -> None:
-    """Tells the answers that were not told yet, in one message.
+    """Tells what was not told yet, in one message.
 
-    Before they are due they wait for each other: told one by one, they would
-    take as much of the asking entry's link as from the searchers.
+    Before they are due answers wait for each other: told one by one, they
+    would take as much of the asking entry's link as from the searchers. That
+    a shard will have none is told at once: where too many have none, a caller
+    that hears of it soon has time for another try.
     """
-    legs = _untold(request)
-    if legs and tables.now >= request.give_at:
-        _send(tables, request, _merged(request, legs))
+    is_due = tables.now >= request.give_at
+    answered = [leg for leg in _untold(request) if leg.answer is not None]
+    dead = [leg for leg in _untold(request) if leg.dead]
+    if dead or (answered and is_due):
+        msg = _merged(request, answered if is_due else [])
+        request.origin.told.update(leg.service for leg in dead)
+        _send(tables, request, attrs.evolve(msg, missing=_ends(dead)))
 
 
 def close(tables: Tables, request: Request, *, wanted: bool) -> None:
@@ -54,30 +64,19 @@
 
 
 def _last(request: Request) -> PartAnswered:
-    missing = tuple(
-        LegEnd(leg.service, leg.runs)
-        for leg in request.legs
-        if leg.answer is None
-    )
-    merged = _merged(request, _untold(request))
-    return PartAnswered(
-        merged.part_id,
-        merged.services,
-        merged.signatures,
-        merged.body,
-        over=True,
-        missing=missing,
-        sends=request.sends,
-    )
+    untold = _untold(request)
+    merged = _merged(request, [leg for leg in untold if leg.answer is not None])
+    missing = _ends(leg for leg in untold if leg.answer is None)
+    return attrs.evolve(merged, over=True, missing=missing, sends=request.sends)
 
 
 def _untold(request: Request) -> list[Leg]:
     told = request.origin.told
-    return [
-        leg
-        for leg in request.legs
-        if leg.answer is not None and leg.service not in told
-    ]
+    return [leg for leg in request.legs if leg.service not in told]
+
+
+def _ends(legs: Iterable[Leg]) -> tuple[LegEnd, ...]:
+    return tuple(LegEnd(leg.service, leg.runs) for leg in legs)
 
 
 def _merged(request: Request, legs: list[Leg]) -> PartAnswered:
--- a/greengagemoor/forward/arrivals.py
+++ b/greengagemoor/forward/arrivals.py
@@ -25,6 +25,8 @@
 SIGNATURE_BYTES = 32
 HEAD_BYTES = 300
 """Of an answer: its status line, headers, and what the network adds."""
+AHEAD_BYTES = 2500
+"""Usually on the link before an answer: sends of the next query."""
 END_MARGIN_S = 0.01
 """An answer leaves this long before the caller gives up."""
 
@@ -92,12 +94,12 @@
 
 
 def _sending_s(tables: Tables, route: Route) -> float:
-    """Returns how long the answer to a gather keeps the own link busy."""
+    """Returns how long the answer to a gather takes on the own link."""
     if route.gather is None or not tables.link_bytes_per_s:
         return 0.0
     records = RECORD_BYTES * route.gather.top
     heads = HEAD_BYTES + SIGNATURE_BYTES * len(route.gather.services)
-    return (records + heads) / tables.link_bytes_per_s
+    return (AHEAD_BYTES + records + heads) / tables.link_bytes_per_s
 
 
 def _services(tables: Tables, route: Route) -> tuple[str, ...]:
--- a/greengagemoor/forward/delegating.py
+++ b/greengagemoor/forward/delegating.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from greengagemoor.forward.tables import Leg, Request, Tables
 
-LEAST_LINK_S = 0.01
+LEAST_LINK_S = 0.02
 """A query whose answers keep the own link busy for less isn't shared: what a
 helper saves is the way to it and back, and the time it takes to read."""
 SHARDS_EACH = 14
@@ -183,7 +183,10 @@
     _take_legs(tables, part, msg)
     if msg.over:
         _take_over(tables, part, msg)
-    completion.look(tables, part.request)
+    runs = {end.service: end.runs for end in msg.missing}
+    if msg.refused:
+        runs = dict.fromkeys(part.legs, 0)
+    _ask_from_here(tables, part, runs)
 
 
 def _take_legs(tables: Tables, part: Part, msg: PartAnswered) -> None:
@@ -209,10 +212,6 @@
         took = tables.now - part.asked_at
         helper.slowness.note(took / max(times.median, 0.001), 0.0)
         times.note(took)
-    runs = {end.service: end.runs for end in msg.missing}
-    if msg.refused:
-        runs = dict.fromkeys(part.legs, 0)
-    _ask_from_here(tables, part, runs)
 
 
 def _ask_from_here(tables: Tables, part: Part, runs: dict[str, int]) -> None:
@@ -221,16 +220,17 @@
     Args:
         tables: the tables.
         part: what the helper was asked for.
-        runs: how often each of its shards may have run.
+        runs: how often each of these may have run.
     """
     request = part.request
     if request.done:
         return
-    for service, leg in part.legs.items():
-        if not leg.is_open:
+    for service, number in runs.items():
+        leg = part.legs.get(service)
+        if leg is None or not leg.is_open or leg.helper != part.helper.name:
             continue
         leg.helper = ""
-        leg.runs = leg.sends = runs.get(service, request.route.attempts)
+        leg.runs = leg.sends = number
         _send(tables, leg)
     completion.look(tables, request)
 
--- a/greengagemoor/forward/partmessages.py
+++ b/greengagemoor/forward/partmessages.py
@@ -76,14 +76,14 @@
 
 @values.frozen
 class PartAnswered:
-    """Answers of some shards of a part, that were not told before.
+    """What became of some shards of a part, that was not told before.
 
     Attributes:
         services: whose answers these are.
         signatures: of the searchers, in the order of ``services``.
         body: the greatest records of these answers, falling.
+        missing: shards that will have no answer from there.
         over: nothing more will be told.
-        missing: when it is over, the shards without an answer.
         sends: when it is over, how often the request was sent.
         refused: nothing was sent.
     """
@@ -92,8 +92,8 @@
     services: tuple[str, ...] = ()
     signatures: tuple[str, ...] = ()
     body: bytes = b""
-    over: bool = False
     missing: tuple[LegEnd, ...] = ()
+    over: bool = False
     sends: int = 0
     refused: bool = False
 
--- a/greengagemoor/forward/parts.py
+++ b/greengagemoor/forward/parts.py
@@ -53,7 +53,7 @@
     """For whom this entry asks some shards.
 
     Attributes:
-        told: services whose answers were told.
+        told: services whose answers, or ends without one, were told.
     """
 
     peer: str
--- a/tests/test_forward/test_parts.py
+++ b/tests/test_forward/test_parts.py
@@ -27,20 +27,22 @@
 SHARDS = 30
 ROUTE = gather(SHARDS, least=0.9, objective_s=0.2, time_limit_s=1.0)
 SLOW_LINK = 200_000.0
-BYTES = 1000.0
+BYTES = 2000.0
 WAY_S = 0.001
 
 
 class Fleet:
     """Entries with links to each other, and searchers that are told by hand.
 
-    A searcher answers after ``work_s``, but for those in ``silent``.
+    A searcher answers after ``work_s``, but for those in ``silent``, and
+    those in ``broken`` fail at once.
     """
 
     def __init__(self, entries=3, link=SLOW_LINK, work_s=0.02):
         self.now = 100.0
         self.work_s = work_s
         self.silent: set[str] = set()
+        self.broken: set[str] = set()
         self.frozen: set[str] = set()
         self.lost: set[tuple[str, str]] = set()
         self.entries: dict[str, ForwardDecider] = {}
@@ -103,7 +105,11 @@
                 self.put(said.name, p.FromPeer(name, said.payload), WAY_S)
         elif isinstance(said, m.StartAttempt):
             self.sent.append((name, said))
-            if said.searcher_id not in self.silent:
+            if said.searcher_id in self.broken:
+                found = m.SearcherAnswer(500, said.searcher_id, (), b"")
+                end = m.AttemptEnded(said.attempt_id, Outcome.ANSWERED, found)
+                self.put(name, end, 0.01)
+            elif said.searcher_id not in self.silent:
                 self.answer(name, said)
         elif isinstance(said, m.CancelAttempt):
             self.cancelled.append((name, said.attempt_id))
@@ -206,6 +212,16 @@
         assert answer.ending is Ending.PARTIAL
         assert answer.merged.missing == 3
 
+    def test_a_shard_without_an_answer_is_told_at_once(self):
+        """Guards against a caller that hears too late to try again."""
+        fleet = Fleet(work_s=0.15)
+        fleet.broken = {f"s{i}.{j}" for i in range(4) for j in range(3)}
+        fleet.ask()
+        fleet.run(0.1)
+        (answer,) = fleet.answers
+        assert answer.ending is Ending.BELOW_COVERAGE
+        assert answer.elapsed_s < 0.05
+
 
 class TestTrouble:
     """Helpers that freeze, end, are cut off or know too little."""
