--- a/greengagemoor/forward/delegating.py
+++ b/greengagemoor/forward/delegating.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from greengagemoor.forward.tables import Leg, Request, Tables
 
-LEAST_LINK_S = 0.02
+LEAST_LINK_S = 0.01
 """A query whose answers keep the own link busy for less isn't shared: what a
 helper saves is the way to it and back, and the time it takes to read."""
 SHARDS_EACH = 14
