--- a/greengagemoor/control/messages.py
+++ b/greengagemoor/control/messages.py
@@ -157,7 +157,7 @@
     verdict: str = ""
     detail: str = ""
     packed: bytes = attrs.field(default=b"", repr=False)
-    evacuations: tuple[Evacuation, ...] = ()
+    evacuations: tuple[Evacuation, ...] = attrs.field(default=(), repr=False)
 
 
 # Between the decider and its disk.
