--- a/greengagemoor/forward/budget.py
+++ b/greengagemoor/forward/budget.py
@@ -67,6 +67,12 @@
         slack = self.slack * grown
         return self.ratio * self._requests + slack - self._sends
 
+    def share_left(self, now: float) -> float:
+        """Returns which part of this window's allowance is left, 0 to 1."""
+        left = self.left(now)
+        whole = left + self._sends
+        return max(0.0, left / whole) if whole > 0 else 0.0
+
     def may_take(self, now: float) -> bool:
         """Whether one more second send may go out."""
         return self.left(now) + self.rounding >= 1.0
--- a/greengagemoor/forward/delegating.py
+++ b/greengagemoor/forward/delegating.py
@@ -40,6 +40,8 @@
 HEDGE_AFTER = 2.0
 """A helper's second sends begin this many times later than a part that was not
 taken is asked from here, so that no shard is asked more often than allowed."""
+SPARE_SHARE = 0.5
+"""Of the second sends of a window, what parts that are taken back leave."""
 RETURN_S = 0.006
 """A part is told this long before it is due here: its way, and a tick."""
 FIRST_AVOID_S = 1.0
@@ -136,17 +138,34 @@
 
 
 def _look_taken(tables: Tables, part: Part) -> None:
-    """Asks the shards from here if the helper has not read its part."""
+    """Asks the shards from here if the helper has not read its part.
+
+    That takes a second send of each. Where many of these are used already,
+    the helper is more likely busy than gone, and its answer is waited for.
+    """
     if part.taken or part.part_id not in tables.parts:
         return
     helper = part.helper
     pause = FIRST_AVOID_S * 2 ** min(helper.failures, 6)
     helper.failures += 1
     helper.avoid_until = tables.now + min(pause, LONGEST_AVOID_S)
+    if not all(_has_spare(tables, leg) for leg in part.legs.values()):
+        return
+    request = part.request
+    after = tables.now - request.arrived_at
+    words = f"{len(part.legs)} shards"
+    request.steps.append(
+        Step(StepKind.TAKEN_BACK, after, words, note=helper.name)
+    )
     parts.drop(tables, part, answered=False)
     _ask_from_here(tables, part, dict.fromkeys(part.legs, 1))
 
 
+def _has_spare(tables: Tables, leg: Leg) -> bool:
+    budget = tables.budget_of(leg.service)
+    return budget.share_left(tables.now) >= SPARE_SHARE
+
+
 def take_up(tables: Tables, name: str) -> None:
     """Takes in that a link to another entry works."""
     tables.helpers[name] = Helper(name)
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -64,6 +64,7 @@
     SENT = "sent"
     SENT_BESIDE = "sent_beside"
     SHARED = "shared"
+    TAKEN_BACK = "taken_back"
     WAITS = "waits"
     HELD = "held"
     TRIAL = "trial"
--- a/tests/test_forward/test_parts.py
+++ b/tests/test_forward/test_parts.py
@@ -236,6 +236,23 @@
         assert answer.ending is Ending.ANSWERED
         assert fleet.by_entry() == {"e0": 20, "e1": 0, "e2": 10}
 
+    def test_second_sends_are_spared_where_many_are_used(self):
+        """Guards against a busy helper that uses up all second sends."""
+        fleet = Fleet()
+        tables = fleet.entries["e0"].tables
+        for number in range(SHARDS):
+            budget = tables.budget_of(f"s{number}")
+            while budget.share_left(fleet.now) > 0.4:
+                budget.count(fleet.now)
+        fleet.frozen = {"e1"}
+        fleet.ask()
+        fleet.run(0.06)
+        fleet.frozen.clear()
+        fleet.run(0.06)
+        (answer,) = fleet.answers
+        assert answer.ending is Ending.ANSWERED
+        assert fleet.by_entry() == {"e0": 10, "e1": 10, "e2": 10}
+
     def test_frozen_helper_that_wakes_sends_nothing(self):
         """Guards against searchers that run what nobody waits for."""
         fleet = Fleet()
