A part is sent to twice only once its asker waits for it

Found by a mutant that survived (no wait before second sends): the wait was twice the time after which a part is taken back, and a second send is due later than that anyway.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -14,8 +14,10 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from bench.mutant_list import MUTANTS, Mutant
+from bench import mutant_list, mutants_of_places
+from bench.mutant import Mutant
 
+MUTANTS = (*mutant_list.MUTANTS, *mutants_of_places.MUTANTS)
 ROOT = Path(__file__).parent.parent
 WORKERS = 3
 TIMEOUT_S = 300
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -34,6 +34,7 @@
     AskPart,
     FromPeer,
     PartAnswered,
+    PartConfirmed,
     PartDropped,
     PartTaken,
     PeerDown,
@@ -181,6 +182,8 @@
     def _take_from_peer(self, name: str, msg: object) -> None:
         if isinstance(msg, AskPart):
             partintake.take_ask(self.tables, name, msg)
+        elif isinstance(msg, PartConfirmed):
+            partintake.take_confirmed(self.tables, name, msg)
         elif isinstance(msg, PartDropped):
             partintake.take_dropped(self.tables, name, msg)
         elif isinstance(msg, PartTaken):
--- a/greengagemoor/forward/delegating.py
+++ b/greengagemoor/forward/delegating.py
@@ -17,6 +17,7 @@
 from greengagemoor.forward.partmessages import (
     AskPart,
     PartAnswered,
+    PartConfirmed,
     PartTaken,
     ToPeer,
 )
@@ -37,9 +38,6 @@
 MOST_TAKEN_S = 0.04
 """A helper that has not read its part within this share of the objective may be
 frozen or cut off; there is time to ask its shards from here."""
-HEDGE_AFTER = 2.0
-"""A helper's second sends begin this many times later than a part that was not
-taken is asked from here, so that no shard is asked more often than allowed."""
 SPARE_SHARE = 0.5
 """Of the second sends of a window, what parts that are taken back leave."""
 RETURN_S = 0.006
@@ -109,7 +107,6 @@
     for leg in legs:
         leg.runs = leg.sends = 1
         leg.helper = helper.name
-    patience = _taken_within(request)
     ask = AskPart(
         part_id=part.part_id,
         request_id=request.request_id,
@@ -121,7 +118,6 @@
         objective_s=route.objective_s,
         give_in_s=request.give_at - tables.now - RETURN_S,
         end_in_s=request.ends_at - tables.now,
-        hedge_in_s=HEDGE_AFTER * patience,
         fingerprint=request.fingerprint,
     )
     tables.out.append(ToPeer(helper.name, ask, request.token))
@@ -129,7 +125,7 @@
     words = f"{legs[0].service} and {len(legs) - 1} more"
     request.steps.append(Step(StepKind.SHARED, after, words, note=helper.name))
     look = partial(_look_taken, tables, part)
-    tables.set_timer(tables.now + patience, look)
+    tables.set_timer(tables.now + _taken_within(request), look)
 
 
 def _taken_within(request: Request) -> float:
@@ -178,10 +174,8 @@
     lost = [p for p in tables.parts.values() if p.helper.name == name]
     for part in lost:
         parts.close(tables, part)
-        # Until then it has sent nothing twice.
-        safe = part.asked_at + _taken_within(part.request)
-        attempts = part.request.route.attempts
-        runs = 1 if tables.now <= safe else attempts
+        # Unconfirmed it has sent nothing twice.
+        runs = part.request.route.attempts if part.taken else 1
         _ask_from_here(tables, part, dict.fromkeys(part.legs, runs))
 
 
@@ -191,6 +185,8 @@
     if part is not None and part.helper.name == name:
         part.taken = True
         part.helper.failures = 0
+        confirmed = PartConfirmed(part.part_id)
+        tables.out.append(ToPeer(name, confirmed))
 
 
 def take_answered(tables: Tables, name: str, msg: PartAnswered) -> None:
--- a/greengagemoor/forward/partintake.py
+++ b/greengagemoor/forward/partintake.py
@@ -11,6 +11,7 @@
     AskPart,
     FromPeer,
     PartAnswered,
+    PartConfirmed,
     PartDropped,
     PartOpened,
     PartTaken,
@@ -104,7 +105,7 @@
         ends_at=now + msg.end_in_s,
         fingerprint=msg.fingerprint,
         origin=Origin(peer, msg.part_id),
-        hedge_from=now + msg.hedge_in_s,
+        is_confirmed=False,
     )
     request.legs = [Leg(request, name) for name in msg.services]
     return request
@@ -115,6 +116,13 @@
         completion.finish(tables, request, Ending.NO_ANSWER)
 
 
+def take_confirmed(tables: Tables, peer: str, msg: PartConfirmed) -> None:
+    """Lets the shards of a part be sent to a second time."""
+    request = tables.origins.get((peer, msg.part_id))
+    if request is not None:
+        request.is_confirmed = True
+
+
 def take_dropped(tables: Tables, peer: str, msg: PartDropped) -> None:
     """Lets go of a part that is no longer wanted."""
     request = tables.origins.get((peer, msg.part_id))
--- a/greengagemoor/forward/partmessages.py
+++ b/greengagemoor/forward/partmessages.py
@@ -36,7 +36,6 @@
         objective_s: of the route.
         give_in_s: from then on each answer is told as it comes.
         end_in_s: the last moment for an answer.
-        hedge_in_s: nothing is sent a second time before.
         fingerprint: of the request.
     """
 
@@ -50,7 +49,6 @@
     objective_s: float
     give_in_s: float
     end_in_s: float
-    hedge_in_s: float
     fingerprint: bytes = b""
     copy: RequestCopy = RequestCopy()
 
@@ -62,6 +60,17 @@
     part_id: int
 
 
+@values.frozen
+class PartConfirmed:
+    """The asking entry knows that the part was taken, and waits for it.
+
+    Until then no shard of it may be sent to twice: who asks may have heard
+    nothing, and ask the shards itself.
+    """
+
+    part_id: int
+
+
 @values.frozen
 class LegEnd:
     """A shard without an answer.
--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -142,7 +142,6 @@
 def _arm_hedge(tables: Tables, leg: Leg) -> None:
     request = leg.request
     at = tables.now + hedge_delay(tables, request.route)
-    at = max(at, request.hedge_from)
     tables.set_timer(at, partial(_hedge, tables, leg, leg.sends))
 
 
@@ -155,11 +154,12 @@
     request = leg.request
     if request.done or not leg.is_open or leg.sends != sends:
         return
-    if not may_send_more(tables, leg) or request.is_trial:
+    if not _has_attempts(tables, leg) or request.is_trial:
         return
     budget = tables.budget_of(leg.service)
     if (
         request.is_unproved
+        or not request.is_confirmed
         or not budget.may_take(tables.now)
         or not send(tables, leg, second=True)
     ):
@@ -170,7 +170,13 @@
 
 
 def may_send_more(tables: Tables, leg: Leg) -> bool:
-    """Whether the rules allow one more searcher for this leg."""
+    """Whether the rules allow one more searcher for this leg now."""
+    if leg.runs and not leg.request.is_confirmed:
+        return False
+    return _has_attempts(tables, leg)
+
+
+def _has_attempts(tables: Tables, leg: Leg) -> bool:
     request = leg.request
     return (
         leg.runs < request.route.attempts
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -141,7 +141,8 @@
         unproved_legs: legs that go out again once a searcher has answered.
         is_held: nothing is sent until a trial of it has succeeded.
         is_trial: the one send that is under way is that trial.
-        hedge_from: nothing is sent a second time before.
+        is_confirmed: whether its shards may be sent to twice; not yet where
+            another entry may still ask them itself.
         is_shared: helpers were asked for some of its legs.
         part_sends: what helpers have sent beyond the first of each leg.
         origin: for whom this entry asks, if not for a caller.
@@ -164,7 +165,7 @@
     unproved_legs: list[tuple[Leg, Outcome]] = attrs.field(factory=list)
     is_held: bool = False
     is_trial: bool = False
-    hedge_from: float = float("-inf")
+    is_confirmed: bool = True
     is_shared: bool = False
     part_sends: int = 0
     origin: Origin | None = None
--- a/tests/test_forward/test_parts.py
+++ b/tests/test_forward/test_parts.py
@@ -145,6 +145,14 @@
         return counts
 
 
+def _is_elsewhere(event, one, other):
+    """Whether an event is not a message between two entries."""
+    _, _, name, msg = event
+    if not isinstance(msg, p.FromPeer):
+        return True
+    return {name, msg.name} != {one, other}
+
+
 class TestSharing:
     """A query over many shards and a slow link."""
 
@@ -215,7 +223,7 @@
     def test_a_shard_without_an_answer_is_told_at_once(self):
         """Guards against a caller that hears too late to try again."""
         fleet = Fleet(work_s=0.15)
-        fleet.broken = {f"s{i}.{j}" for i in range(4) for j in range(3)}
+        fleet.broken = {f"s{i}.{j}" for i in (0, 9, 18, 27) for j in range(3)}
         fleet.ask()
         fleet.run(0.1)
         (answer,) = fleet.answers
@@ -281,6 +289,18 @@
         fleet.run(1.2)
         assert max(fleet.runs_by_shard().values()) <= ROUTE.attempts
 
+    def test_cut_both_ways_after_a_part_was_read(self):
+        """Guards against two entries that each send a second time."""
+        fleet = Fleet()
+        fleet.silent = {f"s{i}.0" for i in range(SHARDS)}
+        fleet.ask()
+        while not fleet.by_entry()["e1"]:
+            fleet.run(0.001)
+        fleet.lost = {("e1", "e0"), ("e0", "e1")}
+        fleet.events = [e for e in fleet.events if _is_elsewhere(e, "e0", "e1")]
+        fleet.run(1.2)
+        assert max(fleet.runs_by_shard().values()) <= ROUTE.attempts
+
     @pytest.mark.parametrize("after", [0.0015, 0.01, 0.05, 0.1])
     def test_helper_that_ends(self, after):
         """Whenever it ends, no shard is asked more often than allowed."""
