--- a/greengagemoor/forward/delegating.py
+++ b/greengagemoor/forward/delegating.py
@@ -258,9 +258,16 @@
 
 
 def _may_send(tables: Tables, leg: Leg) -> bool:
-    """Whether a shard may be asked once more; counts it as a second send."""
+    """Whether a shard may be asked from here; counts it.
+
+    Where nothing of it has run, this is its first send.
+    """
     if leg.request.is_unproved or not sending.may_send_more(tables, leg):
         return False
     if not choosing.has_usable(tables, leg.service):
         return False
-    return tables.budget_of(leg.service).take(tables.now)
+    budget = tables.budget_of(leg.service)
+    if leg.runs:
+        return budget.take(tables.now)
+    budget.note_request(tables.now)
+    return True
--- a/tests/test_forward/test_parts.py
+++ b/tests/test_forward/test_parts.py
@@ -326,6 +326,20 @@
         assert fleet.answers[0].ending is Ending.ANSWERED
         assert fleet.by_entry() == {"e0": SHARDS, "e1": 0, "e2": 0}
 
+    def test_refused_part_needs_no_second_sends(self):
+        """Guards against an answer given up as helpers restart in turn."""
+        fleet = Fleet()
+        tables = fleet.entries["e0"].tables
+        for number in range(SHARDS):
+            budget = tables.budget_of(f"s{number}")
+            while budget.may_take(fleet.now):
+                budget.count(fleet.now)
+        for name in ("e1", "e2"):
+            fleet.entries[name].tables.takes_parts = False
+        fleet.ask()
+        fleet.run(0.1)
+        assert fleet.answers[0].ending is Ending.ANSWERED
+
     def test_evacuated_at_the_helper(self):
         fleet = Fleet()
         word = EvacuationsLearnt((Evacuation("dc1", 1, True),))
