The soak's entries stand in all data centres

A searcher elsewhere costs 1.7 times as much there, and the one in question, in dc3, was ready for the last six seconds at all entries with two others of its service idle nearer by. So the check asked for what placing does not promise; it stands unchanged, and the entries now stand in the same three data centres, two in each, so that each searcher has some next to it and queries are still shared.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,7 +17,7 @@
 from soak.searchers import Searcher
 from soak.world import PLACES, World
 
-CONTROLS, ENTRIES = 3, 3
+CONTROLS, ENTRIES = 3, 6
 START_S = 15.0
 CALM_S = 8.0
 RECOVERED_SHARE = 0.9
--- a/soak/world.py
+++ b/soak/world.py
@@ -47,6 +47,12 @@
     starts: int = 0
     disturbed_at: float = float("-inf")
 
+    @property
+    def data_centre(self) -> str:
+        """Where it stands; those of a role stand in all places by turns."""
+        number = int(self.ip.rpartition(".")[2])
+        return PLACES[(number - 1) % len(PLACES)]
+
 
 class World:
     """All machines of a run, and what was seen of them."""
@@ -109,7 +115,7 @@
         seeds = self._seeds
         lines = {
             "ip": machine.ip,
-            "zone": "dc1",
+            "zone": machine.data_centre,
             "limits.link-mbps": LINK_MBPS,
             **{f"zones.{place}": "here" for place in PLACES},
             "internal-port-range": PEER_PORTS,
