--- a/tests/test_serving/test_operators.py
+++ b/tests/test_serving/test_operators.py
@@ -4,7 +4,6 @@
 
 import json
 
-import attrs
 import pytest
 
 from greengagemoor.aio.requests import HttpRequest
@@ -18,31 +17,11 @@
 from greengagemoor.serving.opencalls import OpenCalls
 from greengagemoor.serving.operators import EvacuationPage, OperatorCalls
 from greengagemoor.serving.settings import ServingSettings
+from tests.test_serving.helpers import Caller, Metrics
 
 PLACES = ("dc1", "dc2")
 
 
-@attrs.define
-class Caller:
-    """Collects the answer to one call."""
-
-    status: int = 0
-    body: bytes = b""
-
-    def reply(self, req, status, headers, body):
-        self.status, self.body = status, body
-
-
-class Metrics:
-    """Stands for the next page."""
-
-    def take(self, req):
-        req.conn.reply(req, 200, (), b"metrics")
-
-    def gone(self, req):
-        pass
-
-
 class Bench:
     """Operators' calls, with a control group that is asked by hand."""
 
--- a/tests/test_serving/test_quarantine.py
+++ b/tests/test_serving/test_quarantine.py
@@ -4,13 +4,13 @@
 
 import json
 
-import attrs
 import pytest
 
 from greengagemoor.aio.requests import HttpRequest
 from greengagemoor.feed.messages import ClearSuspect, SearcherKey, Suspect
 from greengagemoor.feed.suspects import SuspectTable
 from greengagemoor.serving.quarantine import PATH, QuarantinePage
+from tests.test_serving.helpers import Caller, Metrics
 
 KEYS = tuple(SearcherKey(name, 7) for name in "abc")
 SUSPECT = Suspect(b"s" * 16, ended=KEYS, route="r1")
@@ -18,24 +18,6 @@
 WATCHED = Suspect(b"w" * 16, ended=KEYS[:1])
 
 
-@attrs.define
-class Caller:
-    """Collects answers."""
-
-    status: int = 0
-    body: bytes = b""
-
-    def reply(self, req, status, headers, body):
-        self.status, self.body = status, body
-
-
-class Metrics:
-    """Stands for the metrics."""
-
-    def take(self, req):
-        req.conn.reply(req, 200, (), b"metrics")
-
-
 class TestPage:
     """``/quarantine`` beside the metrics."""
 
