Client accounts: keys, names for searchers, ranks

A document may define client accounts. Until now a caller's key was passed on to searchers, a key that no document held was served, and searchers were not told whose request they ran.

The key is looked up at arrival in the document in force and removed from the request's headers, so nothing that is sent later, to searchers or to other entries, can hold it. A missing, repeated or unknown key is answered 401 on routes that are not public. The account's rank replaces the route's. The files of the data folder are readable by their owner only, as documents hold keys.

--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -81,6 +81,7 @@
     Attributes:
         address: address for callers; '' for a control instance.
         peer_address: address for other entries.
+        capacity: what the entry can carry, relative to others; 0 if unknown.
     """
 
     name: str
@@ -88,6 +89,20 @@
     data_centre: str
     ready: bool
     peer_address: str = ""
+    capacity: float = 0.0
+
+
+@values.frozen
+class EntryPlace:
+    """An entry's place among all entries that the sender knows.
+
+    Attributes:
+        rank: number of entries whose names sort before its own.
+        entries: number of all of them, including those gone recently.
+    """
+
+    rank: int
+    entries: int
 
 
 @values.frozen
--- a/greengagemoor/forward/arrivals.py
+++ b/greengagemoor/forward/arrivals.py
@@ -57,7 +57,7 @@
 def _create_request(tables: Tables, msg: Arrived) -> Request:
     """Creates the request with its deadlines, and a leg for each service."""
     route = msg.route
-    now = tables.now
+    now = tables.now - msg.held_s
     waited = 0.0
     overhead = _caller_overhead_s(tables, msg)
     deadline = now + route.time_limit_s - END_MARGIN_S
@@ -85,6 +85,7 @@
         soft_deadline=min(deadline, now + left),
         deadline=deadline,
         fingerprint=msg.fingerprint,
+        account=msg.account,
     )
     request.legs = [Leg(request, name) for name in _services(tables, route)]
     return request
--- a/greengagemoor/forward/delegation.py
+++ b/greengagemoor/forward/delegation.py
@@ -124,7 +124,7 @@
         services=tuple(part.legs),
         top=route.gather.top,
         attempts=route.attempts,
-        rank=route.rank,
+        rank=request.rank,
         objective_s=route.objective_s,
         give_in_s=request.soft_deadline - tables.now - RETURN_MARGIN_S,
         end_in_s=request.deadline - tables.now,
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from greengagemoor.codes import ClaimVerdict
     from greengagemoor.feed.messages import SearcherKey
+    from greengagemoor.routing.accounts import ClientAccount
     from greengagemoor.routing.routes import Route
 
 
@@ -110,6 +111,8 @@
         fingerprint: equal for requests with the same content.
         network_s: network time that the caller's clock includes, from its first
             packet until it has the answer; None if not known.
+        account: the client account, None if there is none.
+        held_s: time since the request arrived at this process.
     """
 
     token: int
@@ -118,6 +121,8 @@
     remaining_wait_s: float | None
     fingerprint: bytes = b""
     network_s: float | None = None
+    account: ClientAccount | None = None
+    held_s: float = 0.0
 
 
 @values.frozen
--- a/greengagemoor/forward/sending.py
+++ b/greengagemoor/forward/sending.py
@@ -104,7 +104,7 @@
     after = tables.now - leg.request.arrived_at
     leg.request.steps.append(Step(StepKind.WAITS, after, leg.service))
     queue = tables.waiting.setdefault(leg.service, [])
-    item = (leg.request.route.rank, next(tables.ids), leg)
+    item = (leg.request.rank, next(tables.ids), leg)
     heapq.heappush(queue, item)
     if len(queue) == 1:
         _arm_queue_timer(tables, leg.service)
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -25,6 +25,7 @@
     from greengagemoor.forward.parts import Helper, Origin, Part
     from greengagemoor.forward.policy import Policy
     from greengagemoor.forward.trial_table import Trial
+    from greengagemoor.routing.accounts import ClientAccount
     from greengagemoor.routing.routes import Route, ServiceRules
 
 MAX_RECENT_ENDS = 64
@@ -140,6 +141,9 @@
     """A request of a caller, or a part for another entry, until its answer.
 
     Attributes:
+        rank: priority of the client account, or else of the route; 0 is the
+            most urgent.
+        account: the client account; None if there is none.
         soft_deadline: from then on an answer with sufficient coverage is given
             at once.
         deadline: when the request ends at the latest.
@@ -164,6 +168,7 @@
     soft_deadline: float
     deadline: float
     fingerprint: bytes = b""
+    account: ClientAccount | None = None
     legs: list[Leg] = attrs.field(factory=list)
     steps: list[Step] = attrs.field(factory=list)
     done: bool = False
@@ -179,6 +184,13 @@
     origin: Origin | None = None
     is_dropped: bool = False
 
+    @property
+    def rank(self) -> int:
+        """Priority; see the class."""
+        if self.account is not None and self.account.rank is not None:
+            return self.account.rank
+        return self.route.rank
+
     @property
     def is_open(self) -> bool:
         """Whether any leg may still be answered."""
--- a/greengagemoor/log_fields.py
+++ b/greengagemoor/log_fields.py
@@ -37,6 +37,7 @@
     "part": "shards that this process queried on behalf of another entry",
     "step": "a decision for a request that did not complete as expected",
     "no_route": "a request matches no route",
+    "unauthenticated": "a request's key is missing or unknown",
     "bad_call": "a call to a control instance is malformed",
     "disk_open": "the data folder has been opened",
     "disk_unusable": "the data folder can't be opened; retried",
--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -28,11 +28,15 @@
     from greengagemoor.aio.client import Headers, HttpResponse
     from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.feed.messages import Subscribe
+    from greengagemoor.routing.accounts import ClientAccount
     from greengagemoor.routing.routes import RouteTable
 
 REQUEST_ID = b"request-id"
 DEADLINE = b"deadline-ms"
 EXPECT_INSTANCE = b"expect-instance"
+KEY = b"api-key"
+ACCOUNT_NAME = b"tenant-id"
+"""The platform's tenant is our client account."""
 SIGNATURE = b"server-stamp"
 NOT_EXECUTED = b"not-executed"
 LOAD = b"server-load"
@@ -84,9 +88,22 @@
         text = req.header(DEADLINE)
         wait_s = float(text) / 1000 if text and text.isdigit() else None
         return d.RequestInfo(
-            host, req.header(REQUEST_ID) or "", remaining_wait_s=wait_s
+            host, req.header(REQUEST_ID) or "", wait_s, _read_key(req)
         )
 
+    def set_account(
+        self, req: HttpRequest, account: ClientAccount | None
+    ) -> None:
+        """Replaces the key, and any name that the caller sent, by the name."""
+        headers = [
+            (name, value)
+            for name, value in req.headers
+            if name.lower() not in (KEY, ACCOUNT_NAME)
+        ]
+        if account is not None:
+            headers.append((b"Tenant-Id", account.name.encode()))
+        req.headers = headers
+
     def write_attempt(
         self, req: HttpRequest, searcher_id: str, left_s: float
     ) -> bytes:
@@ -156,6 +173,10 @@
         """Reports that no route matches the request."""
         return Reply(404)
 
+    def write_unauthenticated(self) -> Reply:
+        """Reports that the key is missing or unknown."""
+        return Reply(401)
+
     def write_ready(self, ready: bool) -> Reply:
         """Reports readiness by the status only."""
         return Reply(200 if ready else 503)
@@ -216,6 +237,12 @@
         return Reply(400)
 
 
+def _read_key(req: HttpRequest) -> str:
+    """Returns the key; '' if it is missing or repeated."""
+    found = [value for name, value in req.headers if name.lower() == KEY]
+    return found[0].decode("latin-1") if len(found) == 1 else ""
+
+
 def _write_operator_result(accepted: bool, fault: str) -> Reply:
     if fault:
         return _json(400, {"error": fault})
--- a/greengagemoor/platform/documents.py
+++ b/greengagemoor/platform/documents.py
@@ -7,6 +7,7 @@
 
 from greengagemoor.errors import DocumentError
 from greengagemoor.platform import fields
+from greengagemoor.routing.accounts import ClientAccount
 from greengagemoor.routing.routes import (
     CallerLimits,
     Gather,
@@ -58,6 +59,25 @@
         routes=tuple(_route(item) for item in data["routes"]),
         services={rules.name: rules for rules in services},
         limits=_limits(data.get("limits") or {}),
+        accounts=_accounts(data),
+    )
+
+
+def _accounts(data: dict[str, Any]) -> tuple[ClientAccount, ...] | None:
+    # The platform's tenant is our client account.
+    if data.get("tenants") is None:
+        return None
+    return tuple(_account(item) for item in data["tenants"])
+
+
+def _account(item: dict[str, Any]) -> ClientAccount:
+    rank = item.get("priority")
+    return ClientAccount(
+        name=fields.token(item["name"]),
+        keys=tuple(fields.key(key) for key in item.get("api-keys") or ()),
+        rank=None if rank is None else fields.integer(rank),
+        rate_per_s=fields.number(item.get("rate-per-s") or 0),
+        burst=fields.number(item.get("burst") or 0),
     )
 
 
@@ -73,6 +93,7 @@
         attempts=int(item.get("max-attempts", 1)),
         split=_split(item),
         gather=_gather(item),
+        public=fields.boolean(item.get("public", False)),
     )
 
 
--- a/greengagemoor/platform/fields.py
+++ b/greengagemoor/platform/fields.py
@@ -55,6 +55,41 @@
     return value
 
 
+def boolean(value: Any) -> bool:
+    """Returns a boolean.
+
+    Raises:
+        TypeError: it is neither true nor false.
+    """
+    if not isinstance(value, bool):
+        raise TypeError(f"{_abbreviate(value)} is not a boolean")
+    return value
+
+
+def token(value: Any) -> str:
+    """Returns a text that can be sent as the value of a header.
+
+    Raises:
+        TypeError: it is not a string.
+        ValueError: it is empty, too long, or not printable ASCII.
+    """
+    if not (text(value).isascii() and value.isprintable()):
+        raise ValueError("text has characters that headers can't carry")
+    return value
+
+
+def key(value: Any) -> str:
+    """Returns a key; errors don't quote it, as they are logged.
+
+    Raises:
+        TypeError: it is not a string.
+        ValueError: it is empty, too long, or not printable ASCII.
+    """
+    if not isinstance(value, str):
+        raise TypeError("a key is not a string")
+    return token(value)
+
+
 def number(value: Any) -> float:
     """Returns a finite number that isn't negative.
 
--- /dev/null
+++ b/greengagemoor/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of client accounts, shared by all entries."""
--- a/greengagemoor/routing/routes.py
+++ b/greengagemoor/routing/routes.py
@@ -9,6 +9,11 @@
 import attrs
 
 from greengagemoor.errors import DocumentError
+from greengagemoor.routing.accounts import (
+    AccountIndex,
+    ClientAccount,
+    account_faults,
+)
 from greengagemoor.util import values
 
 if TYPE_CHECKING:
@@ -60,6 +65,7 @@
         rank: priority; 0 is the most urgent.
         attempts: maximum number of searchers per service for one request.
         split: services to choose from; empty for a gather.
+        public: requests need no key of a client account.
     """
 
     name: str
@@ -72,6 +78,7 @@
     attempts: int
     split: tuple[WeightedService, ...] = ()
     gather: Gather | None = None
+    public: bool = False
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -111,12 +118,18 @@
 
 @values.frozen
 class RouteTable:
-    """All routes of one document version."""
+    """All routes of one document version.
+
+    Attributes:
+        accounts: the client accounts; None if the document defines none, so
+            that requests need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceRules]
     limits: CallerLimits
+    accounts: tuple[ClientAccount, ...] | None = None
     _by_host: dict[str, tuple[Route, ...]] = attrs.field(
         init=False, eq=False, repr=False
     )
@@ -131,6 +144,20 @@
             for host, routes in by_host.items()
         }
 
+    _account_index: AccountIndex = attrs.field(init=False, eq=False, repr=False)
+
+    @_account_index.default
+    def _index_accounts(self) -> AccountIndex:
+        return AccountIndex(self.accounts or ())
+
+    def account_for(self, key: str) -> ClientAccount | None:
+        """Returns the client account that has the key."""
+        return self._account_index.with_key(key)
+
+    def account_named(self, name: str) -> ClientAccount | None:
+        """Returns the client account of that name."""
+        return self._account_index.named(name)
+
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path."""
         for route in self._by_host.get(host, ()):
@@ -145,7 +172,11 @@
     Raises:
         DocumentError: the document must be rejected; lists all faults.
     """
-    faults = [*_duplicate_routes(table), *_route_faults(table)]
+    faults = [
+        *_duplicate_routes(table),
+        *_route_faults(table),
+        *account_faults(table.accounts or ()),
+    ]
     if faults:
         raise DocumentError(faults)
 
--- a/greengagemoor/serving/dialect.py
+++ b/greengagemoor/serving/dialect.py
@@ -7,6 +7,8 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+import attrs
+
 from greengagemoor.util import values
 
 if TYPE_CHECKING:
@@ -14,6 +16,7 @@
     from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.feed.messages import SearcherRow, Subscribe
     from greengagemoor.forward.messages import Outcome, Respond, SearcherAnswer
+    from greengagemoor.routing.accounts import ClientAccount
     from greengagemoor.routing.routes import RouteTable
 
 
@@ -28,18 +31,19 @@
 
 @values.frozen
 class RequestInfo:
-    """Host, id, remaining wait and client account of a caller's request.
+    """Host, id, remaining wait and key of a caller's request.
 
     Attributes:
         remaining_wait_s: time until the caller gives up, None if it isn't
             given.
-        account: the client account, "" if the request names none.
+        key: identifies the client account; "" if there is none, or more than
+            one. Must not be logged.
     """
 
     host: str
     request_id: str
     remaining_wait_s: float | None
-    account: str = ""
+    key: str = attrs.field(default="", repr=False)
 
 
 @values.frozen
@@ -123,7 +127,12 @@
         """
 
     def read_request(self, req: HttpRequest) -> RequestInfo:
-        """Reads host, id, deadline and account of a caller's request."""
+        """Reads host, id, deadline and key of a caller's request."""
+
+    def set_account(
+        self, req: HttpRequest, account: ClientAccount | None
+    ) -> None:
+        """Removes the key from a request, and adds the account's name."""
 
     def write_attempt(
         self, req: HttpRequest, searcher_id: str, left_s: float
@@ -145,6 +154,9 @@
     def write_no_route(self) -> Reply:
         """Answers a request that no route matches."""
 
+    def write_unauthenticated(self) -> Reply:
+        """Answers a request whose key is missing or unknown."""
+
     def write_ready(self, ready: bool) -> Reply:
         """Answers a readiness check."""
 
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -178,6 +178,16 @@
             event_log.log_no_route(info, req.path, self._route_table.version)
             self._reply(req, self._dialect.write_no_route())
             return
+        account = None
+        if self._route_table.accounts is not None:
+            account = self._route_table.account_for(info.key)
+            self._dialect.set_account(req, account)
+            if account is None and not route.public:
+                event_log.log_unauthenticated(
+                    info, route.name, self._route_table.version
+                )
+                self._reply(req, self._dialect.write_unauthenticated())
+                return
         req.token = next(self._tokens)
         self._requests[req.token] = req
         self._ticker.put(
@@ -186,8 +196,9 @@
                 info.request_id,
                 route,
                 info.remaining_wait_s,
-                request_fingerprint(req, info),
+                request_fingerprint(req, info, account),
                 req.network_s,
+                account,
             )
         )
 
--- a/greengagemoor/serving/event_log.py
+++ b/greengagemoor/serving/event_log.py
@@ -128,6 +128,17 @@
     )
 
 
+def log_unauthenticated(info: RequestInfo, route: str, document: int) -> None:
+    """Logs that a request's key is missing or unknown, without the key."""
+    log.event(
+        "unauthenticated",
+        request_id=info.request_id,
+        route=route,
+        reason="unknown key" if info.key else "missing key",
+        document=document,
+    )
+
+
 def _log_searcher(row: feed.SearcherRow) -> None:
     """Logs the new state of a searcher at an entry."""
     log.event(
--- a/greengagemoor/serving/request_identity.py
+++ b/greengagemoor/serving/request_identity.py
@@ -8,13 +8,16 @@
 
 if TYPE_CHECKING:
     from greengagemoor.aio.requests import HttpRequest
+    from greengagemoor.routing.accounts import ClientAccount
     from greengagemoor.serving.dialect import RequestInfo
 
 
-def request_fingerprint(req: HttpRequest, info: RequestInfo) -> bytes:
+def request_fingerprint(
+    req: HttpRequest, info: RequestInfo, account: ClientAccount | None = None
+) -> bytes:
     """Returns the same fingerprint for requests that ask for the same."""
     return fingerprint(
-        info.account.encode(),
+        account.name.encode() if account is not None else b"",
         req.method.encode(),
         info.host.encode(),
         req.target.encode(),
--- a/greengagemoor/storage/folder.py
+++ b/greengagemoor/storage/folder.py
@@ -20,6 +20,8 @@
 FORMAT_FILE = "FORMAT.json"
 LOCK_FILE = "LOCK"
 IDENTITY_BYTES = 8
+OWNER_ONLY = 0o600
+"""Mode of the files: documents contain the keys of client accounts."""
 
 
 @values.frozen
@@ -111,7 +113,9 @@
     def write_atomically(self, name: str, data: bytes) -> None:
         """Replaces a file atomically: a crash leaves the old or the new one."""
         temporary = self.path / f"{name}.new"
-        with temporary.open("wb") as file:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+        descriptor = os.open(temporary, flags, OWNER_ONLY)
+        with os.fdopen(descriptor, "wb") as file:
             file.write(data)
             file.flush()
             os.fsync(file.fileno())
--- a/greengagemoor/wire/codec.py
+++ b/greengagemoor/wire/codec.py
@@ -28,6 +28,7 @@
     "greengagemoor.control.commands",
     "greengagemoor.feed.messages",
     "greengagemoor.forward.part_messages",
+    "greengagemoor.quota.messages",
     "greengagemoor.membership.messages",
     "greengagemoor.membership.rows",
     "greengagemoor.backends",
