--- a/greengagemoor/forward/arrivals.py
+++ b/greengagemoor/forward/arrivals.py
@@ -14,7 +14,7 @@
     trials,
 )
 from greengagemoor.forward.mergers import RECORD_BYTES
-from greengagemoor.forward.messages import Ending
+from greengagemoor.forward.messages import Ending, Step, StepKind
 from greengagemoor.forward.tables import Leg, Request
 
 if TYPE_CHECKING:
@@ -87,6 +87,8 @@
         fingerprint=msg.fingerprint,
         account=msg.account,
     )
+    if msg.held_s:
+        request.steps.append(Step(StepKind.QUOTA, msg.held_s, ""))
     request.legs = [Leg(request, name) for name in _services(tables, route)]
     return request
 
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -29,6 +29,8 @@
     NOT_RUN_DEADLINE = "not_run_deadline"
     NOT_RUN_SUSPECT = "not_run_suspect"
     NOT_RUN_QUARANTINED = "not_run_quarantined"
+    NOT_RUN_QUOTA = "not_run_quota"
+    NOT_RUN_NO_QUOTA = "not_run_no_quota"
     CALLER_GONE = "caller_gone"
 
 
@@ -40,6 +42,8 @@
         Ending.NOT_RUN_DEADLINE,
         Ending.NOT_RUN_SUSPECT,
         Ending.NOT_RUN_QUARANTINED,
+        Ending.NOT_RUN_QUOTA,
+        Ending.NOT_RUN_NO_QUOTA,
     }
 )
 
@@ -61,8 +65,12 @@
 
 
 class StepKind(enum.Enum):
-    """A kind of decision about a request."""
+    """A kind of decision about a request.
 
+    ``QUOTA``: it was held until the quota of its account was known.
+    """
+
+    QUOTA = "quota"
     SENT = "sent"
     SENT_BESIDE = "sent_beside"
     SHARED = "shared"
--- a/greengagemoor/log_analysis/explain.py
+++ b/greengagemoor/log_analysis/explain.py
@@ -24,10 +24,13 @@
     "not_run_refused": "each searcher that was asked refused to run it",
     "not_run_suspect": "searchers crashed while running it; a trial goes first",
     "not_run_quarantined": "it crashes the searchers that run it",
+    "not_run_quota": "its account was over its quota",
+    "not_run_no_quota": "no control instance told the quota of its account",
     "not_run_deadline": "its deadline had passed when it arrived",
 }
 
 STEP_TEXTS = {
+    "quota": "held until then for the quota of its account",
     "waits": "waits: no searcher has a free connection",
     "held": "held until a trial of this request has completed",
     "trial": "the send is the trial of this request",
--- a/greengagemoor/log_fields.py
+++ b/greengagemoor/log_fields.py
@@ -100,7 +100,7 @@
     "ending": "how the request ended",
     "elapsed_ms": "milliseconds from arrival to answer",
     "sends": "number of sends of the request, over all services",
-    "detail": "services without an answer; the last to answer, with its time",
+    "detail": "services without an answer; the last to answer; account refused",
     "after_ms": "milliseconds since the request arrived",
     "cost": "expected time of the send, as a multiple of its route's median",
     "own": "this entry's earlier sends in flight at the searcher",
--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -72,7 +72,10 @@
     Ending.BROKEN: 502,
     Ending.BELOW_COVERAGE: 502,
     Ending.NO_ANSWER: 504,
+    Ending.NOT_RUN_QUOTA: 429,
 }
+NOT_RUN_STATUS = 503
+"""Status of an ending in ``NOT_RUN`` that is not in the table."""
 
 
 class PlatformDialect:
@@ -162,7 +165,8 @@
         ):
             return Reply(answer.status, answer.headers, answer.body)
         if msg.ending in NOT_RUN:
-            return Reply(503, _retry_after(msg.retry_after_s))
+            status = FAILURE_STATUS.get(msg.ending, NOT_RUN_STATUS)
+            return Reply(status, _retry_after(msg.retry_after_s))
         return Reply(FAILURE_STATUS[msg.ending])
 
     def write_no_document(self) -> Reply:
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
-from greengagemoor.aio.client import HttpFailure, HttpResponse
 from greengagemoor.aio.links import Links
 from greengagemoor.aio.pool import PendingRequest, Pool
 from greengagemoor.aio.requests import Limits
@@ -36,6 +35,7 @@
 from greengagemoor.forward.policy import Policy
 from greengagemoor.routing import routes
 from greengagemoor.serving import event_log
+from greengagemoor.serving.attempt_results import attempt_ended
 from greengagemoor.serving.health import Health
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.peers import Peers
@@ -47,6 +47,7 @@
 if TYPE_CHECKING:
     import socket
 
+    from greengagemoor.aio.client import HttpFailure, HttpResponse
     from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.serving.dialect import Dialect, Reply
     from greengagemoor.serving.settings import ServingSettings
@@ -233,7 +234,7 @@
         self._limits.body_bytes = limits.body_bytes
         self._limits.header_timeout_s = limits.header_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
-        self._forward.set_routes(table)
+        self._decider.set_routes(table)
         log.event("document", version=table.version, routes=len(table.routes))
 
     def _act(self, msg: object) -> None:
@@ -284,21 +285,7 @@
         self, msg: StartAttempt, result: HttpResponse | HttpFailure
     ) -> None:
         self._sends.pop(msg.attempt_id, None)
-        if isinstance(result, HttpFailure):
-            outcome = Outcome.BROKEN if result.sent else Outcome.NOT_SENT
-            ended = AttemptEnded(
-                msg.attempt_id,
-                outcome,
-                stale=result.stale,
-                reason=result.reason,
-                response_began=result.response_began,
-            )
-        else:
-            info = self._dialect.read_answer(result)
-            ended = AttemptEnded(
-                msg.attempt_id, info.outcome, info.answer, reason=info.reason
-            )
-        self._ticker.put(ended)
+        self._ticker.put(attempt_ended(msg.attempt_id, result, self._dialect))
 
     def _probe_done(self, searcher: feed.SearcherKey, refused: bool) -> None:
         self._ticker.put(ProbeEnded(searcher, refused))
@@ -314,7 +301,7 @@
 
     def _gauges(self) -> dict[str, float]:
         return {
-            **self._forward.gauges(),
+            **self._decider.gauges(),
             "document_version": self._view.number,
             "ready": float(self.ready),
             "entries_known": self._view.entries,
--- a/greengagemoor/serving/metrics.py
+++ b/greengagemoor/serving/metrics.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor.serving.dialect import Reply
+from greengagemoor.util.labels import escape_label
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -84,7 +85,7 @@
 
     def _lines(self) -> Iterator[str]:
         for route, histogram in sorted(self._latency.items()):
-            label = f'route="{_escape(route)}"'
+            label = f'route="{escape_label(route)}"'
             for quantile in QUANTILES:
                 value = histogram.get_value_at_percentile(quantile)
                 yield (
@@ -92,7 +93,7 @@
                     f'quantile="{quantile / 100:g}"}} {value}'
                 )
         for (route, ending), number in sorted(self._endings.items()):
-            labels = f'route="{_escape(route)}",ending="{ending}"'
+            labels = f'route="{escape_label(route)}",ending="{ending}"'
             yield f"{PREFIX}answers_total{{{labels}}} {number}"
         for name, value in sorted({**self._totals, **self._gauges()}.items()):
             yield f"{PREFIX}{name} {value:g}"
@@ -104,7 +105,3 @@
 
     def handle_disconnect(self, req: HttpRequest) -> None:
         """Does nothing: no request is pending."""
-
-
-def _escape(text: str) -> str:
-    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
