Dealer of client accounts' quotas at the control instances

Entries need tokens of a client account from somewhere that bounds their sum. Each member of the control group now has an equal part of each quota. It answers asks from its part and collects tokens of the others on demand. Nothing runs while the document defines no accounts.

--- a/greengagemoor/platform/boot.py
+++ b/greengagemoor/platform/boot.py
@@ -87,6 +87,9 @@
         retry_ratio=float(fields.get("bounds.retry-budget-ratio", "0.2")),
         retry_slack=float(fields.get("bounds.retry-budget-slack", "20")),
         retry_window_s=float(fields.get("bounds.budget-window-s", "10")),
+        quota_window_s=float(fields.get("bounds.quota-window-s", "5")),
+        quota_overage=float(fields.get("bounds.quota-overage", "0.1")),
+        quota_slack=float(fields.get("bounds.quota-slack", "20")),
         link_bytes_per_s=float(fields.get("limits.link-mbps", "0"))
         * BYTES_PER_S_PER_MBPS,
         data_centres=tuple(
--- a/greengagemoor/quota/messages.py
+++ b/greengagemoor/quota/messages.py
@@ -44,10 +44,12 @@
 
 @values.frozen
 class TokenRequest:
-    """A dealer asks the others for their tokens of some accounts.
+    """A dealer requests tokens of some accounts from another one.
 
     Attributes:
-        for_s: seconds for which it also wants those that accrue.
+        for_s: how many tokens it wants of each account, as the time in which
+            the account's rate yields them; of an account without a rate, it
+            wants all.
     """
 
     accounts: tuple[str, ...]
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -30,6 +30,7 @@
 from greengagemoor.serving.open_calls import BadCalls, OpenCalls
 from greengagemoor.serving.operators import EvacuationPage, OperatorCalls
 from greengagemoor.serving.quarantine import QuarantinePage
+from greengagemoor.serving.quota_dealing import QuotaDealing
 from greengagemoor.serving.ticker import Ticker
 from greengagemoor.shell import group_log
 from greengagemoor.shell.clock import Clock
@@ -58,6 +59,7 @@
         self._ticker = Ticker(self.clock, self._tick)
         self._links = Links(cfg.instance, cfg.peer_address, self._ticker.put)
         self._hub = FeedHub(HubTiming(announce=cfg.announce_s), cfg.instance)
+        self._quotas = QuotaDealing(cfg)
         self._client = ControlClient([cfg.instance], self._rng)
         self._durable = DurableState(
             cfg.data_folder,
@@ -179,7 +181,8 @@
             batch = list(inbox)
             inbox.clear()
             self._step(now, batch, inbox)
-        times = [self._hub.next_wake(), self._client.next_wake()]
+        parts = (self._hub, self._client, self._quotas.dealer)
+        times = [part.next_wake() for part in parts]
         if self._decider is not None:
             times.append(self._decider.next_wake())
         return min((at for at in times if at is not None), default=None)
@@ -197,6 +200,7 @@
         out += self._client.step(
             now, filter(message_dispatch.is_for_client, batch)
         )
+        out += self._quotas.step(now, batch)
         for msg in batch:
             if isinstance(msg, control.PersistFailed):
                 self._restart_member()
@@ -236,7 +240,7 @@
             self._links.send(msg)
 
     def _update_services(self, msg: control.NumberedDocumentAccepted) -> None:
-        """Passes the services of the document in force to the hub."""
+        """Passes on the services and accounts of the document in force."""
         try:
             table = self._dialect.read_document(zlib.decompress(msg.packed))
         except DocumentError as exc:
@@ -245,6 +249,7 @@
             log.event("document_unreadable", level="ERROR", reason=exc)
             return
         self._hub.set_services(frozenset(table.services))
+        self._quotas.dealer.set_accounts(self.clock.now(), table.accounts or ())
 
     def _update_members(self) -> None:
         """Connects to all members and passes their addresses to the hub.
@@ -264,11 +269,16 @@
         self._client.targets = sorted(names.union(self._contacts))
         self._hub.set_peers(tuple(sorted(addresses)), frozenset(names))
         self._hub.set_outside_group(not state.group)
+        # One that asks to join may have been removed and replaced.
+        self._quotas.dealer.set_members(
+            self.clock.now(), () if outside else names, self.cfg.instance
+        )
 
     def _gauges(self) -> dict[str, float]:
         return {
             **self._hub.gauges(),
             **self._state_log.gauges(),
+            **self._quotas.dealer.gauges(),
             "links": len(self._links.open_links),
             "link_bytes_sent_total": self._links.sent_bytes,
             "bad_calls_total": self._bad_calls.total,
--- a/greengagemoor/serving/message_dispatch.py
+++ b/greengagemoor/serving/message_dispatch.py
@@ -6,6 +6,7 @@
 from greengagemoor.control.client import OperationRequest
 from greengagemoor.control.join_messages import SeedsChanged
 from greengagemoor.feed import messages as feed
+from greengagemoor.quota import messages as quota
 
 _DECIDER_MESSAGES = (control.Persisted, control.Recovered, SeedsChanged)
 _HUB_PAYLOADS = (
@@ -27,6 +28,9 @@
     feed.ClearSuspect,
 )
 
+_DEALER_PAYLOADS = (quota.QuotaAsk, quota.TokenRequest, quota.TokenGrant)
+_DEALER_MESSAGES = (feed.LinkUp, feed.LinkDown)
+
 
 def is_for_member(msg: object) -> bool:
     """Whether the member of the control group receives the message."""
@@ -47,3 +51,10 @@
     if isinstance(msg, control.Received):
         return isinstance(msg.payload, control.OpReply)
     return isinstance(msg, OperationRequest)
+
+
+def is_for_dealer(msg: object) -> bool:
+    """Whether the dealer of quotas receives the message."""
+    if isinstance(msg, control.Received):
+        return isinstance(msg.payload, _DEALER_PAYLOADS)
+    return isinstance(msg, _DEALER_MESSAGES)
--- a/greengagemoor/serving/settings.py
+++ b/greengagemoor/serving/settings.py
@@ -35,6 +35,11 @@
         retry_slack: retries and hedges allowed in addition, of all entries to
             one service in each window.
         retry_window_s: length of that window.
+        quota_window_s: length of each sliding window in which the requests of
+            a client account are bounded (control).
+        quota_overage: what an account may send beyond its quota in a window,
+            as a share of the quota.
+        quota_slack: requests that it may send in addition.
         link_bytes_per_s: capacity of this process's network link, 0 if not
             given.
         data_centres: all data centres, () if not given.
@@ -62,6 +67,11 @@
     retry_window_s: float = attrs.field(
         default=10.0, validator=in_range(0.1, 3600.0)
     )
+    quota_window_s: float = attrs.field(
+        default=5.0, validator=in_range(0.1, 3600.0)
+    )
+    quota_overage: float = attrs.field(default=0.1, validator=in_range(0, 10.0))
+    quota_slack: float = attrs.field(default=20.0, validator=in_range(0, 1e6))
     link_bytes_per_s: float = attrs.field(
         default=0.0, validator=in_range(0, 1e12)
     )
--- /dev/null
+++ b/tests/test_quota/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quotas of client accounts."""
