--- a/greengagemoor/quota/collecting.py
+++ b/greengagemoor/quota/collecting.py
@@ -31,7 +31,7 @@
         self.started = 0
         self._now = 0.0
         self._members = 1
-        self._sources: list[str] = []
+        self._others: list[str] = []
         self._silent_until: dict[str, float] = {}
         self._requests: dict[str, dict[float, list[str]]] = {}
 
@@ -44,9 +44,7 @@
             others: the other members that have a link to this one.
         """
         self._now, self._members = now, members
-        self._sources = [
-            name for name in others if self._silent_until.get(name, 0.0) <= now
-        ]
+        self._others = others
         self._requests = defaultdict(lambda: defaultdict(list))
 
     def note_received(self, name: str) -> None:
@@ -86,8 +84,9 @@
 
     def _estimates(self, row: AccountRow, part: Part) -> dict[str, float]:
         return {
-            source: row.estimate(self._now, source, part)
-            for source in self._sources
+            name: row.estimate(self._now, name, part)
+            for name in self._others
+            if self._silent_until.get(name, 0.0) <= self._now
         }
 
     def requests(self) -> list[Send]:
--- a/greengagemoor/quota/dealer.py
+++ b/greengagemoor/quota/dealer.py
@@ -225,17 +225,15 @@
         while row.waiting and row.bucket.try_take(row.waiting[0].number):
             first = row.waiting.popleft()
             self._reply(first.sender, first.ask, granted=first.number)
-        if row.awaited:
-            self._answer_overdue(row, part)
-        elif not (row.wants_tokens and self._collector.collect(row, part)):
-            while row.waiting:
-                self._answer_partly(row, part)
-        if not row.waiting:
-            row.bucket.cap(part.limit)
-
-    def _answer_overdue(self, row: AccountRow, part: Part) -> None:
         while row.waiting and row.waiting[0].until <= self._now:
             self._answer_partly(row, part)
+        is_collecting = row.awaited or (
+            row.wants_tokens and self._collector.collect(row, part)
+        )
+        while row.waiting and not is_collecting:
+            self._answer_partly(row, part)
+        if not row.waiting:
+            row.bucket.cap(part.limit)
 
     def _answer_partly(self, row: AccountRow, part: Part) -> None:
         """Answers the first waiting ask with what there is."""
--- a/tests/test_quota/dealers.py
+++ b/tests/test_quota/dealers.py
@@ -137,7 +137,9 @@
             for b in self.processes:
                 if b not in side:
                     self.cuts.add(frozenset((a, b)))
-                    self.at(self.now + DETECT_S, lambda a=a, b=b: self._lose(a, b))
+                    self.at(
+                        self.now + DETECT_S, lambda a=a, b=b: self._lose(a, b)
+                    )
 
     def _lose(self, a, b) -> None:
         if frozenset((a, b)) in self.cuts:
