Quota dealer: a member that was cut off waits for the leader before it deals

It may have been replaced while its clock stood still, and would deal its part beside its replacement. A state machine over five dealers checks the bound under loss, kills, freezes, cuts, replacements and changed quotas.

--- a/greengagemoor/quota/dealer.py
+++ b/greengagemoor/quota/dealer.py
@@ -86,6 +86,14 @@
             self._table.restart(now)
         self._table.members = self._group.parts(now)
 
+    def note_contact(self, at: float) -> None:
+        """Records when the group's leader was last in contact with this member.
+
+        Args:
+            at: seconds; of the leader itself, when a majority answered it.
+        """
+        self._group.note_contact(at)
+
     def set_accounts(
         self, now: float, accounts: Iterable[ClientAccount]
     ) -> None:
@@ -109,6 +117,7 @@
                 self._group.link_up(msg.name)
             elif isinstance(msg, LinkDown):
                 self._group.link_down(msg.name)
+        self._group.update(now)
         self._update_dealing()
         self._collector.begin(now, self._table.members, self._group.others())
         for msg in received:
--- a/greengagemoor/quota/group.py
+++ b/greengagemoor/quota/group.py
@@ -13,7 +13,13 @@
 
 
 class DealerGroup:
-    """The control group as the source of quotas."""
+    """The control group as the source of quotas.
+
+    A member that was cut off may have been replaced without knowing it, and its
+    clock may have stopped. It deals again only after it has heard of the
+    group's leader, who sends nothing to a member that was removed. A member
+    that restarts deals at once, as it has few tokens.
+    """
 
     def __init__(self):
         self.members: frozenset[str] = frozenset()
@@ -22,6 +28,9 @@
         self._others: list[str] = []
         self._is_known = False
         self._deals_from = 0.0
+        self._is_confirmed = True
+        self._regained_at: float | None = None
+        self._contact_at = float("-inf")
         self._earlier: list[tuple[float, int]] = []
 
     def set_members(self, now: float, names: Iterable[str], own: str) -> bool:
@@ -49,8 +58,12 @@
 
     def link_down(self, name: str) -> None:
         """Records a closed link."""
+        had_majority = self._has_majority()
         self._linked.discard(name)
         self._update_others()
+        if had_majority and not self._has_majority():
+            self._is_confirmed = False
+            self._regained_at = None
 
     def _update_others(self) -> None:
         linked = (self.members & self._linked) - {self._own}
@@ -60,12 +73,29 @@
         """Returns the other members that have a link to this one."""
         return self._others
 
+    def note_contact(self, at: float) -> None:
+        """Records when the leader was last in contact with this member."""
+        self._contact_at = at
+
+    def update(self, now: float) -> None:
+        """Confirms this member if the leader was in contact since."""
+        if self._is_confirmed or not self._has_majority():
+            return
+        if self._regained_at is None:
+            self._regained_at = now
+        self._is_confirmed = self._contact_at > self._regained_at
+
+    def _has_majority(self) -> bool:
+        return 2 * (1 + len(self._others)) > len(self.members)
+
     def obstacle(self, now: float) -> str:
         """Returns why this instance does not deal; '' if it does."""
         if self._own not in self.members:
             return "not a member"
-        if 2 * (1 + len(self._others)) <= len(self.members):
+        if not self._has_majority():
             return "no link to a majority"
+        if not self._is_confirmed:
+            return "no leader since links were lost"
         if now < self._deals_from:
             return "new member"
         return ""
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -196,6 +196,7 @@
             out += self._decider.step(now, member_msgs)
             self._update_members()
             self._state_log.note(self._decider)
+            self._quotas.note_state(self._decider.state)
         out += self._hub.step(now, filter(message_dispatch.is_for_hub, batch))
         out += self._client.step(
             now, filter(message_dispatch.is_for_client, batch)
--- a/greengagemoor/serving/quota_dealing.py
+++ b/greengagemoor/serving/quota_dealing.py
@@ -6,6 +6,7 @@
 
 from greengagemoor import log
 from greengagemoor.control.messages import Send
+from greengagemoor.control.state import Role
 from greengagemoor.quota.bucket import Margin
 from greengagemoor.quota.dealer import DealingChanged, QuotaDealer
 from greengagemoor.serving import message_dispatch
@@ -14,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from greengagemoor.control.state import State
     from greengagemoor.serving.settings import ServingSettings
 
 DEALING_LINES_PER_S = 0.2
@@ -35,6 +37,10 @@
         self.dealer = make_dealer(cfg)
         self._lines = LineBudget(DEALING_LINES_PER_S, DEALING_LINES_BURST)
 
+    def note_state(self, state: State) -> None:
+        """Passes on when the leader was last in contact with this member."""
+        self.dealer.note_contact(_contact_at(state))
+
     def step(self, now: float, batch: Iterable[object]) -> list[Send]:
         """Runs the dealer; returns what is to be sent."""
         out = self.dealer.step(
@@ -53,3 +59,16 @@
                 reason=msg.reason,
                 left_out=self._lines.reset_dropped(),
             )
+
+
+def _contact_at(state: State) -> float:
+    """Returns when the leader, or at the leader a majority, was last heard."""
+    if state.role is not Role.LEADER:
+        return state.last_leader_contact_at
+    answered = [
+        state.now
+        if voter == state.member_id
+        else state.progress[voter].last_ack
+        for voter in state.voters
+    ]
+    return sorted(answered, reverse=True)[len(answered) // 2]
--- a/tests/test_quota/dealers.py
+++ b/tests/test_quota/dealers.py
@@ -15,6 +15,10 @@
 
 DETECT_S = 2.3
 """Time until a silent link is closed."""
+HEARTBEAT_S = 0.15
+"""Interval at which the leader of the group sends to the members."""
+SILENCE_S = 4.0
+"""A member without a leader for this long asks to join again."""
 
 
 class Process:
@@ -25,7 +29,7 @@
         self.offset = offset
         self.frozen_at: float | None = None
         self.held: list[object] = []
-        self.incarnation = 0
+        self.contact_at = 0.0
 
     def clock(self, now: float) -> float:
         """Returns this process's monotonic time, which a freeze stops."""
@@ -64,13 +68,14 @@
         self.replies: list[tuple[float, float, str, QuotaReply]] = []
         self.on_reply = None
         self.sent: Counter[str] = Counter()
-        self.changes: list[tuple[str, object]] = []
+        self.starts: list[float] = []
         self._asked_at: dict[tuple[str, int], float] = {}
         self._ask_id = 0
         self._events: list = []
         self._order = 0
         for name in self.names:
             self.start(name)
+        self.at(self.now, self._send_heartbeats)
 
     def at(self, when, action) -> None:
         self._order += 1
@@ -82,10 +87,9 @@
         """Starts a process, which has lost its state."""
         clock_offset = self.rng.uniform(-500, 500)
         process = Process(QuotaDealer(self.margin), clock_offset)
-        previous = self.processes.get(name)
-        process.incarnation = previous.incarnation + 1 if previous else 0
         self.processes[name] = process
-        local = process.clock(self.now)
+        local = process.contact_at = process.clock(self.now)
+        self.starts.append(self.now)
         if joins_later:
             process.dealer.set_members(local, (), name)
         process.dealer.set_members(local, self.names, name)
@@ -95,8 +99,7 @@
 
     def kill(self, name) -> None:
         """Ends a process; the others see its links close at once."""
-        process = self.processes.pop(name)
-        self.changes.append((name, process.incarnation))
+        del self.processes[name]
         for other in list(self.processes):
             self._disconnect(name, other)
 
@@ -171,14 +174,26 @@
             self.deliver(a, LinkDown(b))
             self.deliver(b, LinkDown(a))
 
-    def set_members(self, names) -> None:
-        """Sets the members at every process that runs and is not frozen."""
-        self.names = list(names)
-        for name, process in self.processes.items():
-            if process.frozen_at is None:
-                local = process.clock(self.now)
+    def replace(self, name, new) -> None:
+        """Replaces a member, which is not told; the new one starts."""
+        self.names = [new if n == name else n for n in self.names]
+        self.start(new, joins_later=True)
+
+    def _send_heartbeats(self) -> None:
+        """Tells members in contact with a majority who the members are."""
+        self.at(self.now + HEARTBEAT_S, self._send_heartbeats)
+        for name, process in list(self.processes.items()):
+            if process.frozen_at is not None:
+                continue
+            local = process.clock(self.now)
+            linked = sum(frozenset((name, n)) in self.links for n in self.names)
+            if name in self.names and 2 * (linked + 1) > len(self.names):
+                process.contact_at = local
+                process.dealer.note_contact(local)
                 process.dealer.set_members(local, self.names, name)
-                self._step(name, [])
+            elif local - process.contact_at > SILENCE_S:
+                process.dealer.set_members(local, (), name)
+            self._step(name, [])
 
     def set_accounts(self, accounts) -> None:
         """Sets the accounts at every process, also frozen ones on resuming."""
