--- a/tests/test_quota/__init__.py
+++ b/tests/test_quota/__init__.py
@@ -1,1 +1,1 @@
-"""Tests."""
+"""Tests of the quotas of client accounts."""
