--- a/greengagemoor/forward/entry_decider.py
+++ b/greengagemoor/forward/entry_decider.py
@@ -65,6 +65,7 @@
         )
         self._claims = TrialClaims(me.name, rng)
         self._gate = QuotaGate(rng)
+        self._has_limits = False
 
     def step(self, now: float, msgs: Iterable[object]) -> list:
         """Runs one tick.
@@ -85,7 +86,8 @@
                 quota_msgs.append(msg)
             else:
                 feed_msgs.append(msg)
-        quota_msgs += filter(_is_link_change, feed_msgs)
+        if feed_msgs:
+            quota_msgs += filter(_is_link_change, feed_msgs)
         out = self._step_view(now, feed_msgs)
         out += self._step_claims(now, filter(_is_reply, feed_msgs))
         self.forward.tables.accepts_parts = self.view.me.ready
@@ -98,6 +100,8 @@
         """Applies the services' rules and account limits of a new document."""
         self.forward.set_routes(table)
         self._gate.set_accounts(table)
+        accounts = table.accounts or ()
+        self._has_limits = any(account.is_limited for account in accounts)
 
     def gauges(self) -> dict[str, float]:
         """Returns the current values, for metrics."""
@@ -107,8 +111,10 @@
         self, now: float, quota_msgs: list, forward_msgs: list
     ) -> tuple[list, list]:
         """Returns its output, and the messages for the forward decider."""
+        # Most ticks have nothing for the gate.
         if self._gate.is_idle and not (
-            quota_msgs or any(map(_is_limited, forward_msgs))
+            quota_msgs
+            or (self._has_limits and any(map(_is_limited, forward_msgs)))
         ):
             return [], forward_msgs
         out, passed = [], []
@@ -154,11 +160,10 @@
     def next_wake(self) -> float:
         """Returns when a tick is due even without messages."""
         wake = self.view.next_wake()
-        for other in (
-            self.forward.next_wake(),
-            self._claims.next_wake(),
-            self._gate.next_wake(),
-        ):
+        others = [self.forward.next_wake(), self._claims.next_wake()]
+        if not self._gate.is_idle:
+            others.append(self._gate.next_wake())
+        for other in others:
             if other is not None and other < wake:
                 wake = other
         return wake
--- a/greengagemoor/quota/gate.py
+++ b/greengagemoor/quota/gate.py
@@ -83,6 +83,7 @@
         self._run_timers()
         while self._to_ask:
             _, row = self._to_ask.popitem()
+            self._requests.serve(row)
             if row.held and row.ask is None:
                 self._ask(row)
         if now >= self._sweep_at:
@@ -136,6 +137,9 @@
         row = self._rows.setdefault(row.account.name, row)
         row.touched_at = self._now
         row.add_tokens(1, valid_until)
+        if row.held:
+            self._to_ask[row.account.name] = row
+            self._due = True
 
     def gauges(self) -> dict[str, float]:
         """Returns the current values, for metrics."""
--- a/tests/test_quota/test_gate.py
+++ b/tests/test_quota/test_gate.py
@@ -6,7 +6,12 @@
 import pytest
 
 from greengagemoor.feed.messages import LinkDown
-from greengagemoor.forward.messages import AnswerWritten, CallerGone
+from greengagemoor.forward.messages import (
+    AnswerWritten,
+    CallerGone,
+    Ending,
+    Respond,
+)
 from greengagemoor.quota.gate import ANSWER_TIMEOUT_S
 from greengagemoor.routing.accounts import ClientAccount
 from tests.test_forward.helpers import single
@@ -89,6 +94,15 @@
         assert bench.gate.gauges()["quota_admitted_total"] == 300
         assert number < 40
 
+    def test_surplus_is_bounded_by_the_rate(self):
+        """Guards against hoarding after a single burst of a slow account."""
+        account = attrs.evolve(ACCOUNT, rate_per_s=1.0, burst=200.0)
+        bench = GateBench()
+        (ask,) = asks(bench.arrive(200, account=account))
+        assert len(admitted(bench.reply(ask, granted=200))) == 200
+        (ask,) = asks(bench.arrive(account=account))
+        assert ask.payload.number == 1
+
     def test_calm_account_asks_for_no_more_than_it_needs(self):
         bench = GateBench()
         for _ in range(20):
@@ -273,6 +287,16 @@
         assert not no.over_quota
         assert no.held_s == pytest.approx(3 * ANSWER_TIMEOUT_S)
 
+    def test_next_request_is_asked_for_again(self):
+        """Guards against a refusal that outlasts the silence."""
+        bench = GateBench()
+        bench.step(bench.request(route=single(objective_s=1.0)))
+        for _ in range(3):
+            bench.wake()
+        out = bench.step(bench.request(route=single(objective_s=1.0)))
+        (ask,) = asks(out)
+        assert len(admitted(bench.reply(ask, granted=1))) == 1
+
     def test_a_quarter_of_the_objective(self):
         bench = GateBench()
         bench.step(bench.request(route=single(objective_s=0.08)))
@@ -281,6 +305,12 @@
         assert no.held_s == pytest.approx(0.02)
         assert bench.gate.gauges()["quota_held"] == 0
 
+    def test_time_before_the_gate_counts(self):
+        bench = GateBench()
+        bench.step(bench.request(route=single(objective_s=0.08), held_s=0.012))
+        (no,) = rejected(bench.wake())
+        assert no.held_s == pytest.approx(0.02)
+
     def test_caller_that_waits_less(self):
         bench = GateBench()
         bench.step(bench.request(remaining_wait_s=0.005))
@@ -348,11 +378,35 @@
         assert bench.step(after=0.1) == []
         assert asks(bench.arrive())
 
+    def test_denial_without_callers_counts(self):
+        """Guards against an ask per caller that leaves early."""
+        bench = GateBench()
+        (ask,) = asks(bench.arrive())
+        bench.step(CallerGone(1))
+        assert bench.reply(ask, wait_s=0.3) == []
+        assert rejected(bench.arrive())
+
     def test_gone_after_admission(self):
         bench = GateBench()
         (ask,) = asks(bench.arrive())
         bench.reply(ask, granted=1)
         assert bench.step(CallerGone(1)) == [CallerGone(1)]
+        assert not bench.gate._requests._admitted
+
+
+class TestReturnedTokens:
+    """Tokens of requests that were not sent."""
+
+    def test_the_oldest_held_request_gets_it(self):
+        """Guards against a later arrival that goes first."""
+        bench = GateBench()
+        (ask,) = asks(bench.arrive())
+        (msg,) = bench.reply(ask, granted=1)
+        bench.arrive()
+        ending = Ending.NOT_RUN_BUSY
+        bench.gate.settle(Respond(1, "r1", msg.route, ending, 0.0, 0))
+        assert bench.gate.next_wake() <= bench.now
+        assert [msg.token for msg in bench.arrive()] == [2]
 
 
 class TestDocuments:
