--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -101,6 +101,20 @@
         assert cfg.announce_s == 1.2
         assert cfg.data_centres == ("dc1", "dc2")
 
+    def test_bounds_of_quotas(self, tmp_path):
+        """Guards against settings that are accepted and have no effect."""
+        path = tmp_path / "boot.conf"
+        path.write_text(BOOT)
+        cfg = read_boot(path)
+        quota = (cfg.quota_window_s, cfg.quota_overage, cfg.quota_slack)
+        assert quota == (5.0, 0.1, 20.0)
+        bounds = "window-s=4", "overage=0.2", "slack=7"
+        lines = "".join(f"bounds.quota-{bound}\n" for bound in bounds)
+        path.write_text(BOOT + lines)
+        cfg = read_boot(path)
+        quota = (cfg.quota_window_s, cfg.quota_overage, cfg.quota_slack)
+        assert quota == (4.0, 0.2, 7.0)
+
     @pytest.mark.parametrize(
         "text",
         ["", BOOT.replace("ip=", "op="), BOOT.replace("=1200", "=soon")],
--- a/tests/test_quota/test_dealer.py
+++ b/tests/test_quota/test_dealer.py
@@ -194,6 +194,21 @@
         out = dealer.step(9.2, [Received("e0", QuotaAsk(2, "small", 1))])
         assert [type(msg.payload) for msg in out] == [TokenRequest]
 
+    def test_tokens_beyond_the_limit_are_dropped(self):
+        """Guards against a member that holds the bursts of several others.
+
+        If it froze, they would gain new ones, and all would be dealt.
+        """
+        dealer = lone_dealer(BIG, names=("c0", "c1", "c2"))
+        dealer.step(0.0, [LinkUp("c1"), LinkUp("c2")])
+        dealer.step(99.0, [Received("e0", QuotaAsk(1, "big", 30))])
+        grant = TokenGrant((TokenRow("big", 500.0),))
+        out = dealer.step(99.001, [Received("c1", grant)])
+        assert reply_of(out).granted == 30
+        dealer.step(99.002, [Received("c2", grant)])
+        limit = dealer.margin.part(BIG, 3).limit
+        assert dealer._table.find("big").bucket.level <= limit
+
     def test_stranger_gets_nothing(self):
         """Guards against giving tokens to a member that was removed."""
         dealer = lone_dealer(BIG)
@@ -310,6 +325,29 @@
         assert not asked(dealer, 2.0).dealing
         assert dealer.gauges()["quota_dealing"] == 0.0
 
+    def test_waits_for_the_leader_after_a_cut(self):
+        """Guards against a member that was replaced without knowing it.
+
+        Its clock may have stopped, so no time is long enough. A leader sends
+        nothing to a member that was removed.
+        """
+        dealer = lone_dealer(BIG, names=("c0", "c1", "c2"))
+        dealer.note_contact(0.5)
+        dealer.step(1.0, [LinkUp("c1"), LinkUp("c2")])
+        assert asked(dealer, 1.0).dealing
+        links = [LinkDown("c1"), LinkDown("c2"), LinkUp("c1"), LinkUp("c2")]
+        dealer.step(2.0, links)
+        assert not asked(dealer, 2.1).dealing
+        dealer.note_contact(2.2)
+        assert asked(dealer, 2.2).dealing
+
+    def test_one_lost_link_needs_no_leader(self):
+        """Guards against a pause of all dealers when one is lost."""
+        dealer = lone_dealer(BIG, names=("c0", "c1", "c2"))
+        dealer.step(1.0, [LinkUp("c1"), LinkUp("c2")])
+        dealer.step(2.0, [LinkDown("c1")])
+        assert asked(dealer, 2.0).dealing
+
     def test_half_is_no_majority(self):
         dealer = lone_dealer(BIG, names=("c0", "c1", "c2", "c3"))
         dealer.step(0.0, [LinkUp("c1")])
