--- a/greengagemoor/quota/row_table.py
+++ b/greengagemoor/quota/row_table.py
@@ -14,9 +14,10 @@
     from greengagemoor.quota.bucket import Margin, Part
     from greengagemoor.routing.accounts import ClientAccount
 
-SWEEP_S = 1.0
-SWEEP_ROWS = 1000
-"""Rows checked per sweep, about 2 ms."""
+SWEEP_S = 0.25
+SWEEP_ROWS = 200
+"""Rows checked per sweep, less than 1 ms. With 1,000, asks of the same tick
+would wait for 4 ms."""
 SURPLUS_S = 60.0
 """Tokens above the capacity are kept at least this long after an ask."""
 
