--- a/tests/test_quota/test_faults.py
+++ b/tests/test_quota/test_faults.py
@@ -169,6 +169,107 @@
     settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
 
 
+class TestWorstCases:
+    """Faults in the order that gains an account the most.
+
+    Random rules rarely find these orders: in 600 examples of 60 steps they
+    came to 0.85 of the bound, no more than without faults.
+    """
+
+    @staticmethod
+    def _flood(cluster, seconds):
+        """Asks all dealers for more than all accounts have."""
+        for i in range(int(seconds * 100)):
+            for name in QUOTAS:
+                target = cluster.names[i % MEMBERS]
+                cluster.at(
+                    cluster.now + i / 100,
+                    lambda i=i, t=target, n=name: cluster.ask(f"e{i}", t, n),
+                )
+        cluster.run(seconds)
+
+    @staticmethod
+    def _check(cluster):
+        for name, quota in QUOTAS.items():
+            most = cluster.most_in_window(name)
+            assert most <= cluster.bound(limited(name, *quota)), name
+
+    @staticmethod
+    def _cluster() -> Cluster:
+        accounts = [limited(name, *quota) for name, quota in QUOTAS.items()]
+        cluster = Cluster(NAMES, accounts)
+        cluster.run(120)
+        return cluster
+
+    def test_frozen_with_collected_tokens(self):
+        """Guards against a dealer that keeps a burst while others refill."""
+        cluster = self._cluster()
+        for name in NAMES[:2]:
+            for account, (_, burst) in QUOTAS.items():
+                for i in range(int(burst / MEMBERS) + 2):
+                    cluster.ask(f"e{i}", name, account)
+            cluster.run(0.1)
+            cluster.freeze(name)
+            cluster.run(120)
+        for name in NAMES[:2]:
+            cluster.thaw(name)
+        self._flood(cluster, 6)
+        self._check(cluster)
+
+    def test_asks_held_by_a_frozen_dealer(self):
+        """Guards against a burst for the asks that wait in its sockets."""
+        cluster = self._cluster()
+        cluster.freeze(NAMES[0])
+        for i in range(200):
+            for account in QUOTAS:
+                cluster.ask(f"e{i}", NAMES[0], account)
+        cluster.run(60)
+        cluster.thaw(NAMES[0])
+        self._flood(cluster, 6)
+        self._check(cluster)
+
+    def test_replaced_while_frozen(self):
+        """Guards against the part of a member that was replaced unknowingly."""
+        cluster = self._cluster()
+        cluster.freeze(NAMES[0])
+        cluster.run(3)
+        cluster.replace(NAMES[0], "d1")
+        cluster.run(120)
+        for i in range(200):
+            for account in QUOTAS:
+                cluster.ask(f"e{i}", NAMES[0], account)
+        cluster.thaw(NAMES[0])
+        for i in range(1000):
+            cluster.at(
+                cluster.now + i * 0.005,
+                lambda: [cluster.ask("e1", NAMES[0], n) for n in QUOTAS],
+            )
+        self._flood(cluster, 6)
+        self._check(cluster)
+
+    def test_all_restarted_twice(self):
+        """Guards against tokens that each start brings anew."""
+        cluster = self._cluster()
+        for _ in range(2):
+            self._flood(cluster, 1)
+            for name in NAMES:
+                cluster.kill(name)
+            for name in NAMES:
+                cluster.start(name)
+            cluster.run(0.1)
+        self._flood(cluster, 6)
+        self._check(cluster)
+
+    def test_all_cut_from_each_other(self):
+        """Guards against sides of a cut that each deal the whole quota."""
+        cluster = self._cluster()
+        cluster.cut(NAMES[:2])
+        self._flood(cluster, 8)
+        cluster.heal()
+        self._flood(cluster, 6)
+        self._check(cluster)
+
+
 class TestLoweredQuota:
     """A lowered quota holds by itself once the earlier one is out of sight."""
 
