Entries report their capacity to control instances

Control instances knew nothing about the size of an entry, so small entries were listed to callers as often as large ones.

Subscribe.capacity is set from the settings: the scarcest of processor cores (one at most, as an entry has one event loop), link / 100 Mbit/s and memory / 256 MB, of those given; 0 if none is. The references are estimates. Reloaded settings are sent without a restart.

--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -60,6 +60,7 @@
             least 1.
         peers: peer addresses of the control instances.
         leaving: whether this entry is no longer listed to callers.
+        capacity: as in ``Subscribe``; sent again when it changes.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         data_centre: str,
         suspects: SuspectTable | None = None,
         peer_address: str = "",
+        capacity: float = 0.0,
     ):
         """Creates a view without searchers and document.
 
@@ -79,10 +81,12 @@
             suspects: suspect requests known to this entry; only read here.
             peer_address: its address for other entries; '' if they may not
                 connect.
+            capacity: as in ``Subscribe``.
         """
         self._suspects = SuspectTable() if suspects is None else suspects
+        self.capacity = capacity
         self.me = m.Subscribe(
-            name, address, data_centre, ready=False, peer_address=peer_address
+            name, address, data_centre, False, peer_address, capacity
         )
         self.number = 0
         self._packed = b""
@@ -326,10 +330,12 @@
 
     def _update_ready(self) -> None:
         ready = not self.leaving and self._can_serve()
-        if ready == self.me.ready:
+        before = self.me
+        if (ready, self.capacity) == (before.ready, before.capacity):
             return
-        self.me = attrs.evolve(self.me, ready=ready)
-        self._out.append(m.ReadyChanged(ready))
+        self.me = attrs.evolve(before, ready=ready, capacity=self.capacity)
+        if ready != before.ready:
+            self._out.append(m.ReadyChanged(ready))
         for name in self._sources:
             self._out.append(Send(name, self.me))
 
--- a/greengagemoor/forward/entry_decider.py
+++ b/greengagemoor/forward/entry_decider.py
@@ -55,7 +55,12 @@
         self.forward = ForwardDecider(me.data_centre, rng, policy, me.name)
         suspects = self.forward.tables.suspects
         self.view = FeedView(
-            me.name, me.address, me.data_centre, suspects, me.peer_address
+            me.name,
+            me.address,
+            me.data_centre,
+            suspects,
+            me.peer_address,
+            me.capacity,
         )
         self._claims = TrialClaims(me.name, rng)
 
--- a/greengagemoor/platform/boot.py
+++ b/greengagemoor/platform/boot.py
@@ -15,6 +15,7 @@
 CALLER_ADDRESS_KEY = "listen-addrs.front"
 ZONE_PREFIX = "zones."
 BYTES_PER_S_PER_MBPS = 125_000
+BYTES_PER_MB = 1_000_000
 METRICS_PORT = 9464
 """Same as in the deploy file, which declares the port to the platform."""
 DEFAULT_PATH = "/etc/greengagemoor/boot.conf"
@@ -89,9 +90,23 @@
         retry_window_s=float(fields.get("bounds.budget-window-s", "10")),
         link_bytes_per_s=float(fields.get("limits.link-mbps", "0"))
         * BYTES_PER_S_PER_MBPS,
+        processor_cores=_read_processor_cores(fields),
+        memory_bytes=float(fields.get("limits.memory-mb", "0")) * BYTES_PER_MB,
         data_centres=tuple(
             key.removeprefix(ZONE_PREFIX)
             for key in fields
             if key.startswith(ZONE_PREFIX)
         ),
     )
+
+
+def _read_processor_cores(fields: dict[str, str]) -> float:
+    """Reads how many cores' time this process may use; 0 if not given.
+
+    The share is read as a number of cores, so half a core is 0.5.
+    """
+    given = (
+        float(fields.get(key, "0"))
+        for key in ("limits.cpu-share", "limits.cores")
+    )
+    return min((cores for cores in given if cores), default=0.0)
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -92,6 +92,7 @@
             cfg.data_centre,
             ready=False,
             peer_address=cfg.peer_address,
+            capacity=cfg.entry_capacity,
         )
         self._decider = EntryDecider(own_row, rng, policy)
         self._view = self._decider.view
@@ -138,7 +139,9 @@
     def reload(self, cfg: ServingSettings) -> None:
         """Applies changed settings and connects to their seeds."""
         self.cfg = cfg
+        self._view.capacity = cfg.entry_capacity
         self._update_links()
+        self._ticker.tick()
 
     def _update_links(self) -> None:
         self._dialled_peers = self._view.peers
--- a/greengagemoor/serving/settings.py
+++ b/greengagemoor/serving/settings.py
@@ -6,6 +6,12 @@
 
 from greengagemoor.util.checks import in_range, is_address
 
+LINK_BYTES_PER_S_PER_CORE = 12_500_000.0
+"""Link of 100 Mbit/s. Half a core with 7 Mbit/s is limited by its link, one
+with 500 Mbit/s by its processor; the value between them is an estimate."""
+MEMORY_BYTES_PER_CORE = 256e6
+"""Estimate: the process itself takes 22 to 53 MB (docs/CAPACITY.md)."""
+
 
 def _check_addresses(_, attribute, value):
     for address in value:
@@ -37,6 +43,9 @@
         retry_window_s: length of that window.
         link_bytes_per_s: capacity of this process's network link, 0 if not
             given.
+        processor_cores: processor time that this process may use, in cores, 0
+            if not given.
+        memory_bytes: memory that this process may use, 0 if not given.
         data_centres: all data centres, () if not given.
         seed: of the random number generator; 0 for one from the instance name.
     """
@@ -65,9 +74,32 @@
     link_bytes_per_s: float = attrs.field(
         default=0.0, validator=in_range(0, 1e12)
     )
+    processor_cores: float = attrs.field(
+        default=0.0, validator=in_range(0, 1e6)
+    )
+    memory_bytes: float = attrs.field(default=0.0, validator=in_range(0, 1e15))
     data_centres: tuple[str, ...] = ()
     seed: int = 0
 
+    @property
+    def entry_capacity(self) -> float:
+        """What this process can carry as an entry, relative to others.
+
+        That is the scarcest of processor, link and memory, each as a multiple
+        of what a fully used core needs; 0 if none of them is given. An entry
+        runs its event loop on one core, so further cores add nothing.
+        """
+        known = [
+            value
+            for value in (
+                min(self.processor_cores, 1.0),
+                self.link_bytes_per_s / LINK_BYTES_PER_S_PER_CORE,
+                self.memory_bytes / MEMORY_BYTES_PER_CORE,
+            )
+            if value
+        ]
+        return min(known, default=0.0)
+
     @property
     def founds_group(self) -> bool:
         """Whether the settings tell this process to found the control group."""
--- a/tests/test_feed/test_view.py
+++ b/tests/test_feed/test_view.py
@@ -161,6 +161,15 @@
         bench.step(after=2.0)
         assert bench.view.me.ready
 
+    def test_changed_capacity_is_sent_once(self):
+        """Guards against reloaded settings that need a restart."""
+        bench = ViewBench()
+        bench.step(m.LinkUp("c1"))
+        bench.view.capacity = 0.5
+        (sent,) = bench.step()
+        assert sent.payload.capacity == 0.5
+        assert bench.step() == []
+
     def test_leaving_is_sent_at_once(self):
         bench = ViewBench()
         bench.step(m.LinkUp("c1"))
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -101,9 +101,36 @@
         assert cfg.announce_s == 1.2
         assert cfg.data_centres == ("dc1", "dc2")
 
+    @pytest.mark.parametrize(
+        ("limits", "capacity"),
+        [
+            ({}, 0.0),
+            ({"link-mbps": "7", "cpu-share": "0.5"}, 0.07),
+            ({"link-mbps": "500", "cpu-share": "0.5"}, 0.5),
+            ({"cpu-share": "1", "cores": "0.25"}, 0.25),
+            ({"cores": "4", "memory-mb": "64"}, 0.25),
+            ({"cores": "4"}, 1.0),
+            ({"link-mbps": "0", "memory-mb": "128"}, 0.5),
+        ],
+    )
+    def test_entry_capacity(self, tmp_path, limits, capacity):
+        """Guards against an entry that gets more than its scarcest resource.
+
+        One that gives no limits reports 0, so that all entries count the same.
+        """
+        path = tmp_path / "boot.conf"
+        lines = [f"limits.{key}={value}" for key, value in limits.items()]
+        path.write_text(BOOT + "\n".join(lines))
+        assert read_boot(path).entry_capacity == pytest.approx(capacity)
+
     @pytest.mark.parametrize(
         "text",
-        ["", BOOT.replace("ip=", "op="), BOOT.replace("=1200", "=soon")],
+        [
+            "",
+            BOOT.replace("ip=", "op="),
+            BOOT.replace("=1200", "=soon"),
+            BOOT + "limits.cpu-share=half",
+        ],
     )
     def test_malformed_settings_are_rejected(self, tmp_path, text):
         path = tmp_path / "boot.conf"
