Directory: entries near the caller, in proportion to capacity

The directory listed all ready entries in rotation, whatever their capacity and data centre. Beyond 64 entries all control instances listed the same ones at the same time.

Each control instance now keeps a credit for each entry, and lists those with most credit, 0.6 of a list from the caller's data centre as far as credit allows. With one data centre, equal capacities and at most 64 entries all are listed in rotation as before. Gauges show the balance.

--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,7 @@
     LOST_AFTER_INTERVALS,
     AnnouncedRows,
 )
+from greengagemoor.feed.directory import EntryDirectory
 from greengagemoor.feed.history import DocumentHistory
 from greengagemoor.feed.messages import SearcherState
 from greengagemoor.feed.peer_rows import PeerRows
@@ -53,6 +55,7 @@
         self._subscription = m.Subscribe(name, "", "", ready=False)
         self._own_rows = AnnouncedRows(timing.announce)
         self._subscribers = Subscribers()
+        self._directory = EntryDirectory(name)
         self._number = 0
         self._documents = DocumentHistory()
         self._peers: tuple[str, ...] = ()
@@ -110,9 +113,17 @@
         times = (self._sweep_at, self._subscribers.next_release)
         return min(at for at in times if at is not None)
 
-    def entries_for_caller(self) -> list[m.Subscribe]:
-        """Returns the ready entries to list to a caller, in rotating order."""
-        return self._subscribers.ready_in_turn()
+    def entries_for_caller(
+        self, data_centre: str = "", limit: int = sys.maxsize
+    ) -> list[m.Subscribe]:
+        """Returns the ready entries to list to a caller.
+
+        Args:
+            data_centre: the caller's; '' if unknown.
+            limit: maximum number to list.
+        """
+        ready = self._subscribers.ready()
+        return self._directory.select(ready, data_centre, limit)
 
     def gauges(self) -> dict[str, float]:
         """Returns current values for metrics."""
@@ -122,6 +133,7 @@
             "entries_ready": len(self._subscribers.ready()),
             "acknowledgements_held": self._subscribers.held,
             **self.suspects.table.counts(),
+            **self._directory.gauges(),
             **{f"searchers_{name}": n for name, n in states.items()},
         }
 
--- a/greengagemoor/feed/subscribers.py
+++ b/greengagemoor/feed/subscribers.py
@@ -46,7 +46,6 @@
         self._restored_entries = 0
         self._restored_until = float("-inf")
         self._pending_acks: deque[_PendingAck] = deque()
-        self._offset = 0
 
     def __iter__(self) -> Iterator[str]:
         """Iterates over their names."""
@@ -161,15 +160,3 @@
     def ready(self) -> list[Subscribe]:
         """Returns the linked entries that take requests."""
         return [entry for entry in self.entries() if entry.ready]
-
-    def ready_in_turn(self) -> list[Subscribe]:
-        """Returns the linked entries that take requests, in rotating order.
-
-        An answer to a caller may contain only the first ones; in a fixed order
-        the last entries would never get a caller.
-        """
-        entries = self.ready()
-        if not entries:
-            return []
-        self._offset = (self._offset + 1) % len(entries)
-        return entries[self._offset :] + entries[: self._offset]
--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -78,6 +78,8 @@
 class PlatformDialect:
     """Implements ``serving.dialect.Dialect`` for the platform."""
 
+    max_entries = MAX_ADDRESSES
+
     def read_document(self, text: bytes) -> RouteTable:
         """Decodes a document; see ``documents.read_document``."""
         return read_document(text)
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -160,7 +160,9 @@
         elif isinstance(call, calls.EvacuateCall):
             self._operators.handle_evacuate(req, call)
         elif isinstance(call, calls.FindEntriesCall):
-            entries = self._hub.entries_for_caller()
+            entries = self._hub.entries_for_caller(
+                call.data_centre, self._dialect.max_entries
+            )
             open_calls.answer(req, self._dialect.write_entries(entries))
         else:
             open_calls.answer(req, self._dialect.write_unknown_call())
--- a/greengagemoor/serving/dialect.py
+++ b/greengagemoor/serving/dialect.py
@@ -117,7 +117,13 @@
 
 
 class Dialect(Protocol):
-    """Names, formats and calls of one platform."""
+    """Names, formats and calls of one platform.
+
+    Attributes:
+        max_entries: maximum number of entries in an answer of the directory.
+    """
+
+    max_entries: int
 
     def read_document(self, text: bytes) -> RouteTable:
         """Decodes a document.
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from unittest.mock import Mock
 
 import attrs
 import pytest
@@ -109,6 +110,28 @@
         assert app._ticker.failures == 0
 
 
+class TestDirectory:
+    """Callers look up entries."""
+
+    def test_lists_entries_of_the_callers_data_centre_first(self):
+        """Guards against a look-up that ignores the caller's data centre."""
+        entries = [
+            Subscribe(f"e{i}", f"10.0.1.{i}:80", f"dc{i % 3}", ready=True)
+            for i in range(90)
+        ]
+        msgs = [Received(entry.name, entry) for entry in entries]
+        app, _ = play([], None, *msgs)
+        conn = Mock()
+        app.handle_request(
+            HttpRequest("GET", "/v1/resolve?zone=dc2", [], b"", 0.0, conn)
+        )
+        addresses = json.loads(conn.reply.call_args.args[3])["addrs"]
+        own = {entry.address for entry in entries if entry.data_centre == "dc2"}
+        assert len(addresses) <= 64
+        assert set(addresses[:30]) == own
+        assert not own.intersection(addresses[30:])
+
+
 class TestOutsideAGroup:
     """A control instance that has not joined the group yet."""
 
