--- a/greengagemoor/platform/dialect.py
+++ b/greengagemoor/platform/dialect.py
@@ -81,6 +81,8 @@
 class PlatformDialect:
     """Implements ``serving.dialect.Dialect`` for the platform."""
 
+    max_entries = MAX_ADDRESSES
+
     def read_document(self, text: bytes) -> RouteTable:
         """Decodes a document; see ``documents.read_document``."""
         return read_document(text)
