--- a/greengagemoor/platform/boot.py
+++ b/greengagemoor/platform/boot.py
@@ -104,12 +104,9 @@
 
 
 def _read_processor_cores(fields: dict[str, str]) -> float:
-    """Reads how many cores' time this process may use; 0 if not given.
+    """Reads the speed of this machine's processor, in cores; 0 if not given.
 
-    The share is read as a number of cores, so half a core is 0.5.
+    The platform's ``cores`` is a factor on the speed of its single core.
     """
-    given = (
-        float(fields.get(key, "0"))
-        for key in ("limits.cpu-share", "limits.cores")
-    )
-    return min((cores for cores in given if cores), default=0.0)
+    share = float(fields.get("limits.cpu-share", "0"))
+    return share * float(fields.get("limits.cores", "1"))
--- a/greengagemoor/serving/settings.py
+++ b/greengagemoor/serving/settings.py
@@ -48,8 +48,8 @@
         quota_slack: requests that it may send in addition.
         link_bytes_per_s: capacity of this process's network link, 0 if not
             given.
-        processor_cores: processor time that this process may use, in cores, 0
-            if not given.
+        processor_cores: speed of this process's processor in cores, 0 if not
+            given.
         memory_bytes: memory that this process may use, 0 if not given.
         data_centres: all data centres, () if not given.
         seed: of the random number generator; 0 for one from the instance name.
@@ -96,13 +96,12 @@
         """What this process can carry as an entry, relative to others.
 
         That is the scarcest of processor, link and memory, each as a multiple
-        of what a fully used core needs; 0 if none of them is given. An entry
-        runs its event loop on one core, so further cores add nothing.
+        of what a fully used core needs; 0 if none of them is given.
         """
         known = [
             value
             for value in (
-                min(self.processor_cores, 1.0),
+                self.processor_cores,
                 self.link_bytes_per_s / LINK_BYTES_PER_S_PER_CORE,
                 self.memory_bytes / MEMORY_BYTES_PER_CORE,
             )
