Places: control instances tell entries their ranks where entries outnumber a cap

An entry knew only how many entries there are, so it could not tell which searchers are its own where these outnumber a connection cap. The hub sends EntryPlace on subscription and, at most once a second, when the set of recent entries has changed; nothing is sent while the least cap of the document is not exceeded. The view uses the place among the most entries; one among fewer replaces it after 600 s, as a restarted control instance knows few at first.

--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -22,6 +22,7 @@
 from greengagemoor.feed.history import DocumentHistory
 from greengagemoor.feed.messages import SearcherState
 from greengagemoor.feed.peer_rows import PeerRows
+from greengagemoor.feed.places import PlaceDistributor
 from greengagemoor.feed.slowness import SlowSearcherTable
 from greengagemoor.feed.subscribers import Subscribers
 from greengagemoor.feed.suspect_distribution import SuspectDistributor
@@ -53,6 +54,7 @@
         self._subscription = m.Subscribe(name, "", "", ready=False)
         self._own_rows = AnnouncedRows(timing.announce)
         self._subscribers = Subscribers()
+        self._places = PlaceDistributor(self._subscribers)
         self._number = 0
         self._documents = DocumentHistory()
         self._peers: tuple[str, ...] = ()
@@ -107,7 +109,11 @@
 
     def next_wake(self) -> float:
         """Returns when the next tick is due if no message arrives."""
-        times = (self._sweep_at, self._subscribers.next_release)
+        times = (
+            self._sweep_at,
+            self._subscribers.next_release,
+            self._places.next_wake,
+        )
         return min(at for at in times if at is not None)
 
     def entries_for_caller(self) -> list[m.Subscribe]:
@@ -192,6 +198,13 @@
         """
         self._services = names
 
+    def set_least_cap(self, cap: int | None) -> None:
+        """Sets the least connection cap of any service; None if unknown.
+
+        Entries receive their places only if they outnumber it.
+        """
+        self._places.set_least_cap(cap)
+
     def _known_peers(self) -> m.KnownPeers:
         return m.KnownPeers(self._peers, self._subscribers.recent_entry_count)
 
@@ -301,6 +314,10 @@
             # keeps the newer row.
             rows = self._other_rows.rows() + rows
         self._out.append(Send(sender, self._known_peers()))
+        if msg.address:
+            # Before the rows, so that the entry knows which searchers it may
+            # use before it is ready for callers.
+            self._out += self._places.place_on_subscribe(sender)
         if msg.address and self._evacuations.rows():
             message = m.Evacuations(self._evacuations.rows())
             self._out.append(Send(sender, message))
@@ -340,6 +357,7 @@
             self._peers_changed = False
             for name in self._subscribers:
                 self._out.append(Send(name, self._known_peers()))
+        self._out += self._places.due_places(self._now)
         changed = tuple(self._own_rows.changed)
         if not changed:
             return
--- a/greengagemoor/feed/subscribers.py
+++ b/greengagemoor/feed/subscribers.py
@@ -38,11 +38,16 @@
 
 
 class Subscribers:
-    """Entries and other control instances with a link to this one."""
+    """Entries and other control instances with a link to this one.
+
+    Attributes:
+        entries_version: increases when the set of recent entries changes.
+    """
 
     def __init__(self):
         self._rows: dict[str, _Subscriber] = {}
         self._entries_seen: dict[str, float] = {}
+        self.entries_version = 0
         self._restored_entries = 0
         self._restored_until = float("-inf")
         self._pending_acks: deque[_PendingAck] = deque()
@@ -69,6 +74,7 @@
             return False
         self._rows[name] = _Subscriber(msg)
         if msg.address:
+            self.entries_version += name not in self._entries_seen
             self._entries_seen[name] = now
         return True
 
@@ -128,11 +134,13 @@
         for name, subscriber in self._rows.items():
             if subscriber.is_entry:
                 self._entries_seen[name] = now
-        self._entries_seen = {
+        recent = {
             name: seen
             for name, seen in self._entries_seen.items()
             if seen > now - ENTRY_RETENTION_S
         }
+        self.entries_version += len(recent) != len(self._entries_seen)
+        self._entries_seen = recent
         if now >= self._restored_until:
             self._restored_entries = 0
 
@@ -151,6 +159,10 @@
         """Number of entries linked recently, including those gone since."""
         return max(len(self._entries_seen), self._restored_entries)
 
+    def recent_entry_names(self) -> list[str]:
+        """Returns the sorted names of the entries linked recently."""
+        return sorted(self._entries_seen)
+
     def entries(self) -> list[Subscribe]:
         """Returns the linked entries."""
         rows = self._rows.values()
--- a/greengagemoor/feed/view.py
+++ b/greengagemoor/feed/view.py
@@ -27,6 +27,10 @@
 HELPERS_INTERVAL_S = 3.0
 BASE_COMPRESSION_LEVEL = 1
 """Compression level of the document kept as the base of differences."""
+PLACE_RETENTION_S = 600.0
+"""How long a place among more entries takes precedence. A control instance that
+has restarted knows few entries at first, and ranks among these would coincide
+with those of other entries."""
 SETTLE_S = 0.4
 """How long a starting entry waits for silent control instances once the
 document is confirmed."""
@@ -37,6 +41,7 @@
     whole: bool = False
     document: int = 0
     peers: tuple[str, ...] = ()
+    place: m.EntryPlace | None = None
 
 
 @attrs.define(eq=False, repr=False)
@@ -58,6 +63,7 @@
         number: number of the newest document received; 0 if there is none.
         entries: highest number of entries reported by a control instance, at
             least 1.
+        place: place of this entry among the entries; None if not known.
         peers: peer addresses of the control instances.
         leaving: whether this entry is no longer listed to callers.
     """
@@ -90,6 +96,8 @@
         self._evacuations = EvacuationView()
         self._reads = DocumentReadSchedule()
         self.entries = 1
+        self.place: m.EntryPlace | None = None
+        self._place_at = float("-inf")
         self.peers: tuple[str, ...] = ()
         self.leaving = False
         self._confirmed_number = 0
@@ -121,6 +129,7 @@
         self._out = []
         for msg in msgs:
             self._handle(msg)
+        self._update_place()
         self._report_slow_searchers()
         self._fetch_document()
         self._confirm_document()
@@ -197,6 +206,8 @@
             source.peers = payload.addresses
             self._update_peers()
             self.entries = max(self.entries, payload.entries)
+        elif isinstance(payload, m.EntryPlace):
+            source.place = payload
         elif isinstance(payload, OpReply):
             self._handle_read_reply(payload)
 
@@ -222,6 +233,27 @@
         addresses = sorted({address for peers in lists for address in peers})
         self.peers = tuple(addresses) or self.peers
 
+    def _update_place(self) -> None:
+        """Uses the place among the most entries; see ``PLACE_RETENTION_S``.
+
+        Of several such places, all entries use the one of the first control
+        instance by name.
+        """
+        places = [
+            source.place
+            for _, source in sorted(self._sources.items())
+            if source.place is not None
+        ]
+        if not places:
+            return
+        best = max(places, key=lambda place: place.entries)
+        if self.place is None or best.entries >= self.place.entries:
+            self._place_at = self._now
+        elif self._now < self._place_at + PLACE_RETENTION_S:
+            return
+        self.place = best
+        self.entries = max(self.entries, best.entries)
+
     def _merge_row(self, row: m.SearcherRow) -> None:
         known = self._rows.get(row.searcher_id)
         if row is known:
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -245,6 +245,8 @@
             log.event("document_unreadable", level="ERROR", reason=exc)
             return
         self._hub.set_services(frozenset(table.services))
+        caps = (rules.connection_cap for rules in table.services.values())
+        self._hub.set_least_cap(min(caps, default=None))
 
     def _update_members(self) -> None:
         """Connects to all members and passes their addresses to the hub.
