--- a/bench/gather_model.py
+++ b/bench/gather_model.py
@@ -48,6 +48,7 @@
             seconds.
         reports_slow_searchers: whether entries receive reports of searchers
             that other entries find slow.
+        connect_s: work that a new connection costs the searcher, in seconds.
         answer_delay_s: seconds from when an answer is due until it is sent.
     """
 
@@ -63,6 +64,7 @@
     noise_share: float = 0.0
     noise_factor: float = 4.0
     noise_s: float = 0.5
+    connect_s: float = 0.0
     answer_delay_s: float = 0.0
     caller_network_s: float = 0.0
     reports_slow_searchers: bool = False
--- a/bench/gathers.py
+++ b/bench/gathers.py
@@ -19,6 +19,7 @@
 
 from bench.gather_model import SHEETS, SPEEDS, ModelSearcher, QueryKind, Sheet
 from greengagemoor.feed.messages import (
+    EntryPlace,
     SearcherKey,
     SearcherRow,
     SearcherState,
@@ -52,6 +53,9 @@
 LATE_CREDIT = 0.1
 """Share of the credit that an answer after its objective gets."""
 WARM_UP_S = 5.0
+IDLE_TIMEOUT_S = 12.0
+"""Time for which an idle connection is reused. With it, about as many sends as
+in a run with 191 entries find none: 48,303 of 168,398."""
 
 
 @attrs.define
@@ -66,6 +70,7 @@
         attempts: attempts sent, hedges and retries included.
         needed_attempts: shards of all requests, each of which needs one
             attempt.
+        opened: connections opened for the attempts.
     """
 
     requests: int = 0
@@ -74,6 +79,7 @@
     credit: float = 0.0
     attempts: int = 0
     needed_attempts: int = 0
+    opened: int = 0
 
     def format_row(self) -> str:
         """Returns a row of the table."""
@@ -82,6 +88,7 @@
             f"{self.credit / requests:.3f} {self.in_time / requests:.3f}"
             f" {self.whole / requests:.3f}"
             f" {self.attempts / max(1, self.needed_attempts):.3f}"
+            f" {self.opened / max(1, self.attempts):.3f}"
         )
 
 
@@ -106,6 +113,8 @@
         self._events: list = []
         self._requests: dict = {}
         self._work_s: dict[tuple[int, int], float] = {}
+        self._idle: dict[tuple[int, str], list[float]] = {}
+        self._busy: dict[tuple[int, int], str] = {}
         self._searchers = self._make_searchers(slow_share)
         slack = {"retry_slack": 0.85 * sheet.slack, **policy}
         self._entries = [
@@ -167,9 +176,10 @@
             for name in names
         }
         table = RouteTable(1, (), rules, CallerLimits())
-        for entry in self._entries:
+        for rank, entry in enumerate(self._entries):
             entry.set_routes(table)
             entry.set_entries(self.sheet.entries)
+            entry.set_place(EntryPlace(rank, self.sheet.entries))
             entry.step(-60.0, ())
             rows = [
                 SearcherRow(
@@ -223,12 +233,18 @@
             kind, counted = self._requests[msg.token]
             self.figures.attempts += counted
             self._work_s[key] = self._draw_work(kind)
+            new = self._takes_new_connection(now, key, msg.searcher_id)
+            self.figures.opened += counted and new
+            self._work_s[key] += self.sheet.connect_s * new
             self._schedule(
                 now + ONE_WAY_S, self._receive_attempt, key, msg.searcher_id
             )
         elif isinstance(msg, m.CancelAttempt):
             key = (index, msg.attempt_id)
+            self._busy.pop(key, None)
             self._schedule(now + ONE_WAY_S, self._cancel_attempt, key)
+        elif isinstance(msg, m.CloseIdle):
+            self._idle.pop((index, msg.address), None)
         elif (
             isinstance(msg, SlowSendObserved)
             and self.sheet.reports_slow_searchers
@@ -321,7 +337,27 @@
         )
         answer = m.SearcherAnswer(200, "signed", (), b"", load=load)
         ended = m.AttemptEnded(key[1], outcome, answer)
-        self._schedule(now + ONE_WAY_S, self._step, key[0], [ended])
+        self._schedule(now + ONE_WAY_S, self._receive_answer, key, ended)
+
+    def _receive_answer(
+        self, now: float, key: tuple, ended: m.AttemptEnded
+    ) -> None:
+        searcher_id = self._busy.pop(key, None)
+        if searcher_id is not None:
+            idle = self._idle.setdefault((key[0], searcher_id), [])
+            idle.append(now + IDLE_TIMEOUT_S)
+        self._step(now, key[0], [ended])
+
+    def _takes_new_connection(
+        self, now: float, key: tuple, searcher_id: str
+    ) -> bool:
+        """Uses an idle connection if there is one; returns whether not."""
+        self._busy[key] = searcher_id
+        idle = self._idle.get((key[0], searcher_id))
+        while idle:
+            if idle.pop() > now:
+                return False
+        return True
 
     def _record_answer(self, msg: m.Respond) -> None:
         kind, counted = self._requests.pop(msg.token)
@@ -347,7 +383,10 @@
 
 def main() -> None:
     """Prints a row for each sheet, load and policy."""
-    print("sheet load policy: credit, in time, whole, sends a shard")
+    print(
+        "sheet load policy: credit, in time, whole, sends a shard,"
+        " connections a send"
+    )
     for sheet in SHEETS:
         for load, share in SLOW_SHARES.items():
             for name, changes in POLICIES.items():
