--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -253,6 +253,8 @@
             return
         self._hub.set_services(frozenset(table.services))
         self._quotas.dealer.set_accounts(self.clock.now(), table.accounts or ())
+        caps = (rules.connection_cap for rules in table.services.values())
+        self._hub.set_least_cap(min(caps, default=None))
 
     def _update_members(self) -> None:
         """Connects to all members and passes their addresses to the hub.
