--- a/greengagemoor/quota/gate_rows.py
+++ b/greengagemoor/quota/gate_rows.py
@@ -19,6 +19,10 @@
 The tokens are valid longer, so that few of them expire unused."""
 USE_TIME_CONSTANT_S = 1.0
 """Time constant of the smoothed rate at which tokens are used."""
+MAX_HELD_PER_ASK = 10
+"""Held requests for which one ask requests tokens. A frozen entry uses a reply
+when it resumes, as its clock stopped too: half of the default slack of 20 covers
+that."""
 MAX_RETRY_S = 2.0
 """Longest retry delay, and longest time without an ask after a denial."""
 MAX_REFUSING_ENTRIES = 3.0
@@ -112,10 +116,11 @@
             del self.tokens[:expired]
 
     def number_to_ask(self, now: float) -> int:
-        """Returns the number of held requests, and a surplus if it is busy."""
+        """Returns the number for the held requests, with a surplus if busy."""
         use_per_s = self._use_at(now) / USE_TIME_CONSTANT_S
         per_s = min(use_per_s, self.account.rate_per_s)
-        return len(self.held) + int(per_s * SURPLUS_S)
+        held = min(len(self.held), MAX_HELD_PER_ASK)
+        return held + int(per_s * SURPLUS_S)
 
     def _use_at(self, now: float) -> float:
         return self._use * math.exp((self._used_at - now) / USE_TIME_CONSTANT_S)
