--- a/greengagemoor/quota/gate_rows.py
+++ b/greengagemoor/quota/gate_rows.py
@@ -20,9 +20,9 @@
 USE_TIME_CONSTANT_S = 1.0
 """Time constant of the smoothed rate at which tokens are used."""
 MAX_HELD_PER_ASK = 10
-"""Held requests for which one ask requests tokens. An entry that was frozen uses
-a reply when it resumes, as its clock stopped too: half of the default slack of
-20 covers that."""
+"""Held requests for which one ask requests tokens. An entry that was frozen
+uses a reply when it resumes, as its clock stopped too: half of the default
+slack of 20 covers that."""
 MAX_RETRY_S = 2.0
 """Longest retry delay, and longest time without an ask after a denial."""
 MAX_REFUSING_ENTRIES = 3.0
--- a/tests/test_quota/test_whole.py
+++ b/tests/test_quota/test_whole.py
@@ -270,6 +270,70 @@
                 assert any(0 <= at - change <= 1.1 for change in changes)
 
 
+class TestRandomFaults:
+    """One fault after another, several at a time."""
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_bound_and_recovery(self, seed):
+        """Guards against faults that add up."""
+        run = started(seed, seconds=18.0, entries=12)
+        for _ in range(12):
+            inject(run)
+            burst(run, BUSY, run.rng.choice([0, 0, 20, 60]))
+            run.run(run.rng.choice([0.002, 0.3, 1.0]))
+        end_faults(run)
+        ended = run.now
+        run.run(4.5)
+        check_bound(run, *ACCOUNTS, BUSY)
+        check_recovered(run, ended, *ACCOUNTS)
+
+
+def inject(run):
+    """Begins or ends a random fault."""
+    rng = run.rng
+    control = rng.choice(run.names)
+    entry = rng.choice(sorted(run.entries))
+    fault = rng.randrange(10)
+    if fault == 0 and control in run.processes:
+        run.kill(control)
+    elif fault == 1:
+        start_missing(run)
+    elif fault == 2 and control in run.processes:
+        run.freeze(control)
+    elif fault == 3:
+        run.thaw(control)
+    elif fault == 4:
+        run.freeze_entry(entry)
+    elif fault == 5:
+        run.thaw_entry(entry)
+    elif fault == 6:
+        run.cut(rng.sample(run.names, 3))
+    elif fault == 7:
+        run.cut_entry(entry)
+    elif fault == 8:
+        run.heal()
+    elif run.entries[entry].frozen_at is None:
+        run.kill_entry(entry)
+        run.start_entry(entry)
+
+
+def start_missing(run):
+    """Starts the control instances that were killed."""
+    for name in run.names:
+        if name not in run.processes:
+            run.start(name)
+
+
+def end_faults(run):
+    """Ends all faults."""
+    run.heal()
+    start_missing(run)
+    for name in list(run.processes):
+        run.thaw(name)
+    for name in list(run.entries):
+        run.thaw_entry(name)
+
+
 def check_bound_since(run, account, since):
     """Checks the bound of a new quota once the earlier one is out of sight."""
     run.admitted[account.name] = [
--- a/tests/test_quota/whole.py
+++ b/tests/test_quota/whole.py
@@ -246,6 +246,13 @@
         else:
             self._step_entry(name, msgs)
 
+    def _step(self, name, msgs) -> None:
+        super()._step(name, msgs)
+        process = self.processes[name]
+        wake = process.dealer.next_wake()
+        local = process.clock(self.now)
+        assert wake is None or wake > local, "the dealer would spin"
+
     def _step_entry(self, name, msgs) -> None:
         entry = self.entries[name]
         local = entry.clock(self.now)
@@ -262,6 +269,7 @@
                 self.admitted[msg.account.name].append(self.now)
                 self.held_s.append(msg.held_s)
         wake = entry.gate.next_wake()
+        assert wake is None or wake > local, "the entry would spin"
         if wake is not None and wake != entry.wake_at:
             entry.wake_at = wake
             delay = max(0.0, wake - local) + 1e-6
