--- /dev/null
+++ b/greengagemoor/admission/load.py
@@ -0,0 +1,190 @@
+"""Estimates of the queues at searchers, from the load that answers report."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+REPORT_FRESH_S = 0.5
+"""Time constant in seconds of the weight of a searcher's last report."""
+REPORT_KEPT_S = 3.0
+"""Age in seconds from which a searcher's last report is ignored."""
+POOL_FRESH_S = 0.25
+"""Time constant in seconds of the means over all searchers: the reports of one
+gather replace most of what was known half a second before."""
+PRIOR_WEIGHT = 1.0
+"""Weight of the mean over all services in the estimate of one service, as a
+number of reports. A single report of a queue says little about its shard."""
+WORK_STEP = 0.01
+"""Relative change of the estimated work time by one answer. The estimate is a
+median, as the times at slow or paused searchers would distort a mean."""
+SHED_FRESH_S = 1.0
+"""Time constant in seconds of a service's share of sends that were shed."""
+MIN_SHED_WEIGHT = 4.0
+"""Number of recent sends below which a service's share of shed sends says
+nothing."""
+
+
+@attrs.define(eq=False)
+class DecayedMean:
+    """A mean in which the weight of a value decays exponentially.
+
+    Attributes:
+        span_s: time constant of the decay in seconds.
+    """
+
+    span_s: float
+    _weight: float = 0.0
+    _sum: float = 0.0
+    _at: float = float("-inf")
+
+    def note(self, now: float, value: float) -> None:
+        """Adds a value of weight 1."""
+        decay = self._decay(now)
+        self._weight = self._weight * decay + 1.0
+        self._sum = self._sum * decay + value
+        self._at = max(now, self._at)
+
+    def mean(self, default: float = 0.0) -> float:
+        """Returns the mean, or a default if there is no value."""
+        return self._sum / self._weight if self._weight else default
+
+    def weight(self, now: float) -> float:
+        """Returns the number of recent values."""
+        return self._weight * self._decay(now)
+
+    def _decay(self, now: float) -> float:
+        if not self._weight:
+            return 0.0
+        return math.exp(-max(0.0, now - self._at) / self.span_s)
+
+
+@attrs.define(eq=False)
+class _Report:
+    at: float
+    queue: float
+
+
+class LoadEstimate:
+    """Queues of services in work times, and the work time in seconds.
+
+    A queue of 1 means that a new request waits for as long as a request works.
+    """
+
+    def __init__(self):
+        self._reports: dict[str, dict[str, _Report]] = {}
+        self._sheds: dict[str, DecayedMean] = {}
+        self._queue = DecayedMean(POOL_FRESH_S)
+        self._busy = DecayedMean(POOL_FRESH_S)
+        self._shed = DecayedMean(POOL_FRESH_S)
+        self.work_s = 0.0
+
+    def note_answer(
+        self,
+        now: float,
+        service: str,
+        searcher: str,
+        send_s: float,
+        queue: float | None,
+    ) -> None:
+        """Records an answer.
+
+        Args:
+            now: seconds.
+            service: the searcher's service.
+            searcher: its id.
+            send_s: seconds from the send to the answer.
+            queue: requests that wait there, per slot; None if not reported.
+        """
+        self._note_shed(now, service, shed=False)
+        if queue is None:
+            return
+        self._note_queue(now, service, searcher, queue)
+        work = send_s / (1.0 + queue)
+        if not self.work_s:
+            self.work_s = work
+        else:
+            step = WORK_STEP if work > self.work_s else -WORK_STEP
+            self.work_s *= 1.0 + step
+
+    def note_shed(
+        self, now: float, service: str, searcher: str, queue: float | None
+    ) -> None:
+        """Records that a searcher refused a send, with its queue per slot."""
+        self._note_shed(now, service, shed=True)
+        if queue is not None:
+            self._note_queue(now, service, searcher, queue)
+
+    def _note_shed(self, now: float, service: str, *, shed: bool) -> None:
+        self._shed.note(now, shed)
+        mean = self._sheds.get(service)
+        if mean is None:
+            mean = self._sheds[service] = DecayedMean(SHED_FRESH_S)
+        mean.note(now, shed)
+
+    def _note_queue(
+        self, now: float, service: str, searcher: str, queue: float
+    ) -> None:
+        self._queue.note(now, queue)
+        self._busy.note(now, queue > 0)
+        rows = self._reports.setdefault(service, {})
+        rows[searcher] = _Report(now, queue)
+        if len(rows) > 1:
+            old = [k for k, r in rows.items() if r.at < now - REPORT_KEPT_S]
+            for key in old:
+                del rows[key]
+
+    @property
+    def busy_share(self) -> float:
+        """Share of recent reports in which requests waited."""
+        return self._busy.mean()
+
+    @property
+    def shed_share(self) -> float:
+        """Share of recent sends that were shed."""
+        return self._shed.mean()
+
+    def reports(self, now: float) -> float:
+        """Returns the number of recent reports."""
+        return self._queue.weight(now)
+
+    def sheds_all(self, now: float, service: str, share: float) -> bool:
+        """Whether a service sheds at least that share of its sends."""
+        mean = self._sheds.get(service)
+        return (
+            mean is not None
+            and mean.weight(now) >= MIN_SHED_WEIGHT
+            and mean.mean() >= share
+        )
+
+    def queue(self, now: float, service: str) -> float:
+        """Returns the queue of a service in work times.
+
+        The longest queue of several searchers is left out: requests go to the
+        others, and it may be long because its searcher is slow.
+        """
+        pooled = self._queue.mean()
+        reports = [
+            report
+            for report in self._reports.get(service, {}).values()
+            if report.at > now - REPORT_KEPT_S
+        ]
+        if len(reports) > 1:
+            reports.remove(max(reports, key=lambda report: report.queue))
+        weight, total = PRIOR_WEIGHT, PRIOR_WEIGHT * pooled
+        for report in reports:
+            fresh = math.exp(-(now - report.at) / REPORT_FRESH_S)
+            weight += fresh
+            total += fresh * report.queue
+        return total / weight
+
+    def needed_queue(
+        self, now: float, services: tuple[str, ...], least: int
+    ) -> float:
+        """Returns the longest queue among the ``least`` services of shortest.
+
+        A gather waits for that many; those of the others may be missing.
+        """
+        queues = sorted(self.queue(now, name) for name in services)
+        return queues[min(least, len(queues)) - 1] if queues else 0.0
--- a/greengagemoor/forward/arrivals.py
+++ b/greengagemoor/forward/arrivals.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor.forward import (
+    admitting,
     completion,
     evidence,
     first_sends,
@@ -46,6 +47,8 @@
     if not _can_serve(tables, request):
         completion.finish(tables, request, Ending.NOT_RUN_NO_SEARCHER)
         return
+    if admitting.refuse(tables, request):
+        return
     if evidence.is_suspect(tables, request.fingerprint):
         trials.hold(tables, request)
     else:
@@ -86,6 +89,7 @@
         deadline=deadline,
         fingerprint=msg.fingerprint,
         account=msg.account,
+        waited_s=waited,
     )
     request.legs = [Leg(request, name) for name in _services(tables, route)]
     return request
--- a/greengagemoor/forward/attempt_end.py
+++ b/greengagemoor/forward/attempt_end.py
@@ -4,7 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from greengagemoor.forward import evidence, retry_deferral, selection, sending
+from greengagemoor.forward import (
+    admission_reports,
+    evidence,
+    retry_deferral,
+    selection,
+    sending,
+)
 from greengagemoor.forward.messages import Outcome, Step, StepKind
 
 SIZE_SMOOTHING = 0.05
@@ -32,6 +38,7 @@
     _add_step(tables, attempt, _end_text(msg))
     if msg.answer is not None and msg.answer.load is not None:
         selection.note_load(tables, searcher, msg.answer.load)
+    admission_reports.note_send_end(tables, attempt, msg)
     _update_searcher(tables, attempt, msg)
     _update_evidence(tables, attempt, msg)
     if msg.outcome in (
--- a/greengagemoor/forward/completion.py
+++ b/greengagemoor/forward/completion.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor.forward import (
+    admission_reports,
     attempt_end,
     part_reports,
     parts,
@@ -36,7 +37,8 @@
     Ending.NOT_RUN_SUSPECT: 0.3,
     Ending.NOT_RUN_QUARANTINED: 60.0,
 }
-"""Seconds after which a caller should retry: a searcher restarts in about the
+"""Seconds after which a caller should retry, for endings with a fixed time. The
+admission controller chooses that of ``NOT_RUN_OVERLOAD``. A searcher restarts in about the
 time of its longest pauses, and a queue drains in the time of a few requests."""
 
 
@@ -120,6 +122,7 @@
     """
     request.done = True
     tables.requests.pop(request.token, None)
+    admission_reports.note_request_end(tables, request, ending)
     answered = ending in (Ending.ANSWERED, Ending.PARTIAL)
     parts.drop_all(tables, request, answered=answered)
     if request.origin is not None:
@@ -173,7 +176,7 @@
         sends=request.sends + request.helper_sends,
         answer=answer,
         merged=merged,
-        retry_after_s=RETRY_AFTER_S.get(ending),
+        retry_after_s=RETRY_AFTER_S.get(ending, request.retry_after_s),
         detail=_describe(request),
         steps=tuple(request.steps),
         due_at=tables.due_at,
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -135,6 +135,7 @@
             **tables.suspects.counts(),
             "requests_held": sum(len(t.held) for t in tables.trials.values()),
             "leaving_delay_seconds": tables.answer_delay.usual_s,
+            **tables.admission.gauges(now),
             "searchers_evacuated": self._count_evacuated(),
             **{f"searchers_{name}": n for name, n in states.items()},
         }
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -29,6 +29,7 @@
     NOT_RUN_DEADLINE = "not_run_deadline"
     NOT_RUN_SUSPECT = "not_run_suspect"
     NOT_RUN_QUARANTINED = "not_run_quarantined"
+    NOT_RUN_OVERLOAD = "not_run_overload"
     CALLER_GONE = "caller_gone"
 
 
@@ -40,6 +41,7 @@
         Ending.NOT_RUN_DEADLINE,
         Ending.NOT_RUN_SUSPECT,
         Ending.NOT_RUN_QUARANTINED,
+        Ending.NOT_RUN_OVERLOAD,
     }
 )
 
@@ -70,6 +72,7 @@
     WAITS = "waits"
     HELD = "held"
     TRIAL = "trial"
+    REFUSED = "refused"
     ENDED = "ended"
 
 
@@ -84,7 +87,7 @@
         own: sends of this entry in flight at the searcher before this one.
         others: requests of other entries there, as it last reported.
         load_age_s: age of that report in seconds.
-        note: the outcome of a send that ended.
+        note: the outcome of a send that ended; the reason of a refusal.
     """
 
     kind: StepKind
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from greengagemoor.admission.controller import AdmissionController
 from greengagemoor.control.evacuations import EvacuationView
 from greengagemoor.feed.messages import SearcherKey, SearcherState
 from greengagemoor.feed.suspects import SuspectTable
@@ -20,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagemoor.admission.messages import Offer
     from greengagemoor.forward.evidence import PossibleCrash
     from greengagemoor.forward.messages import Outcome, SearcherAnswer, Step
     from greengagemoor.forward.parts import Helper, Origin, Part
@@ -159,6 +161,10 @@
         helper_sends: sends of helpers beyond the first of each leg.
         origin: the entry that asked for this part; None for a caller's request.
         is_dropped: that entry no longer waits for the part.
+        waited_s: time that its caller has waited in earlier attempts.
+        offer: what admission control was told about it; None for a part.
+        retry_after_s: when its caller should retry, if it was refused because
+            of overload.
     """
 
     token: int
@@ -183,6 +189,9 @@
     helper_sends: int = 0
     origin: Origin | None = None
     is_dropped: bool = False
+    waited_s: float = 0.0
+    offer: Offer | None = None
+    retry_after_s: float | None = None
 
     @property
     def rank(self) -> int:
@@ -231,6 +240,7 @@
         unreported: fingerprints of rows to be reported to the control
             instances, and whether others may know the request already.
         to_review: fingerprints of requests whose standing may have changed.
+        admission: decides which requests run when capacity is insufficient.
     """
 
     data_centre: str
@@ -276,6 +286,13 @@
     origins: dict[tuple[str, int], Request] = attrs.field(factory=dict)
     ids: count = attrs.field(factory=lambda: count(1))
     timers: list = attrs.field(factory=list)
+    admission: AdmissionController = attrs.field()
+
+    @admission.default
+    def _create_admission(self) -> AdmissionController:
+        # A source of its own, so that the draws of selection are the same
+        # with and without admission control.
+        return AdmissionController(random.Random(repr(self.rng.getstate())))
 
     def budget_of(self, service: str) -> SendBudget:
         """Returns the service's budget for retries and hedges."""
--- a/greengagemoor/log_analysis/explain.py
+++ b/greengagemoor/log_analysis/explain.py
@@ -24,12 +24,14 @@
     "not_run_refused": "each searcher that was asked refused to run it",
     "not_run_suspect": "searchers crashed while running it; a trial goes first",
     "not_run_quarantined": "it crashes the searchers that run it",
+    "not_run_overload": "capacity was short, or too few shards could answer",
     "not_run_deadline": "its deadline had passed when it arrived",
 }
 
 STEP_TEXTS = {
     "waits": "waits: no searcher has a free connection",
     "held": "held until a trial of this request has completed",
+    "refused": "refused by admission control before anything was sent",
     "trial": "the send is the trial of this request",
 }
 
