Admission: cut the share by the excess wait, raise it by unused slots

The proportional-integral control oscillated with a period of 1.2 s, because an entry's reports are 0.3 s to 0.6 s old, and left the mean queue at 4 work times. The gate on the number of reports admitted all requests after 0.15 s without answers; removed.

--- a/greengagemoor/admission/controller.py
+++ b/greengagemoor/admission/controller.py
@@ -4,11 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from greengagemoor.admission.fairness import (
-    AccountDemand,
-    DecayedCount,
-    RankDemand,
-)
+from greengagemoor.admission.decayed import DecayedCount, DecayedMean
+from greengagemoor.admission.fairness import AccountDemand, RankDemand
 from greengagemoor.admission.load import LoadEstimate
 from greengagemoor.admission.messages import Rejection
 from greengagemoor.admission.share import MIN_SHARE, AdmittedShare
@@ -18,16 +15,12 @@
 
     from greengagemoor.admission.messages import Load, Offer
 
-MIN_REPORTS = 20.0
-"""Number of recent reports below which nothing is refused."""
 MIN_BUSY_SHARE = 0.5
 """Share of the reports that must show waiting requests. Below it most searchers
 have free slots, and refusing requests would make no other faster."""
 DEMAND_SPAN_S = 3.0
 """Time constant in seconds of the demand by route."""
-UPDATE_INTERVAL_S = 0.02
-"""Shortest interval in seconds between steps of the admitted share."""
-TARGET_SHARE = 0.85
+TARGET_SHARE = 0.7
 """Share of the time to the objective that a request is expected to need at
 most; half of the requests take longer than expected."""
 MIN_QUEUE = 0.5
@@ -73,9 +66,8 @@
         self._idle_s: dict[str, float] = {}
         self._offers: dict[str, Offer] = {}
         self._demand: dict[str, DecayedCount] = {}
-        self._updated_at = float("-inf")
+        self._returning = DecayedMean(DEMAND_SPAN_S)
         self._refused = 0
-        self._last_share = {}
 
     def note_answer(
         self,
@@ -96,14 +88,23 @@
         """
         queue = _queue(load)
         self._load.note_answer(now, service, searcher, send_s, queue)
-        self._update(now)
+        self._note_report(now, load, queue)
 
     def note_shed(
         self, now: float, service: str, searcher: str, load: Load | None
     ) -> None:
         """Records that a searcher refused to run a send."""
-        self._load.note_shed(now, service, searcher, _queue(load))
-        self._update(now)
+        queue = _queue(load)
+        self._load.note_shed(now, service, searcher, queue)
+        self._note_report(now, load, queue)
+
+    def _note_report(
+        self, now: float, load: Load | None, queue: float | None
+    ) -> None:
+        if queue is not None:
+            used = min(1.0, load.running / load.slots)
+            if self._share.note_report(now, queue, used):
+                self._share.step(now, self._mean_excess(now))
 
     def note_end(self, now: float, offer: Offer, elapsed_s: float) -> None:
         """Records that an admitted request was answered.
@@ -141,16 +142,28 @@
             and self._rng.random() >= MIN_SHARE
         ):
             return self._reject(offer, "coverage")
-        if not self._is_loaded(now):
-            return None
-        share = self._ranks.share(now, offer.rank, self._share.value)
-        share = self._accounts.share(now, offer.account, share)
-        if offer.waited_s >= RETRIED_WAIT_S:
-            share = min(1.0, RETURNING_FACTOR * share)
+        share = self._share_of(now, offer)
         if self._rng.random() < share:
             return None
         return self._reject(offer, "load")
 
+    def _share_of(self, now: float, offer: Offer) -> float:
+        """Returns the probability with which a request is admitted."""
+        is_returning = offer.waited_s >= RETRIED_WAIT_S
+        self._returning.note(now, is_returning)
+        if not self._is_loaded():
+            return 1.0
+        self._share.rise_in_silence(now)
+        admitted = self._share.value
+        share = self._ranks.share(now, offer.rank, admitted)
+        share = self._accounts.share(now, offer.account, share)
+        # Returning callers are admitted more often than others, but the mean
+        # of both is the share.
+        share /= 1.0 + (RETURNING_FACTOR - 1.0) * self._returning.mean()
+        if is_returning:
+            share *= RETURNING_FACTOR
+        return min(1.0, share)
+
     def _reject(self, offer: Offer, reason: str) -> Rejection:
         self._refused += 1
         longest = RETRY_SHARE * offer.wait_s
@@ -163,23 +176,18 @@
         )
         return len(offer.services) - shedding >= offer.least_answers
 
-    def _is_loaded(self, now: float) -> bool:
-        """Whether most searchers have no free slot."""
+    def _is_loaded(self) -> bool:
+        """Whether most searchers have no free slot, by the last reports."""
         return self._load.busy_share >= MIN_BUSY_SHARE
 
-    def _update(self, now: float) -> None:
-        if now - self._updated_at < UPDATE_INTERVAL_S:
-            return
-        if self._load.reports(now) < MIN_REPORTS:
-            return
-        self._updated_at = now
-        total = excess_s = 0.0
+    def _mean_excess(self, now: float) -> float:
+        """Returns the mean relative excess of the wait, weighted by work."""
+        total = excess = 0.0
         for name, offer in self._offers.items():
             work = self._demand[name].at_time(now)
             total += work
-            excess_s += work * self._excess_s(now, offer)
-        if total:
-            self._share.update(now, excess_s / total)
+            excess += work * self._excess(now, offer)
+        return excess / total if total else 0.0
 
     def _note_demand(self, now: float, offer: Offer) -> None:
         self._offers[offer.route] = offer
@@ -187,19 +195,27 @@
             self._demand[offer.route] = DecayedCount(DEMAND_SPAN_S)
         self._demand[offer.route].add(now, len(offer.services))
 
-    def _excess_s(self, now: float, offer: Offer) -> float:
-        """Returns the seconds by which a request's wait would be too long."""
-        load = self._load
-        queue = load.needed_queue(now, offer.services, offer.least_answers)
+    def _excess(self, now: float, offer: Offer) -> float:
+        """Returns how much longer than allowed a request would wait.
+
+        As a share of the allowed wait; at most 1, so that a route with a short
+        objective does not outweigh all others.
+        """
+        work_s = self._load.work_s
+        queue = self._load.needed_queue(
+            now, offer.services, offer.least_answers
+        )
         idle_s = self._idle_s.get(offer.route)
         if idle_s is None:
             idle_s = START_TIME_SHARE * offer.left_s
-        allowed = TARGET_SHARE * offer.left_s - idle_s
-        return queue * load.work_s - max(allowed, MIN_QUEUE * load.work_s)
+        allowed_s = max(
+            TARGET_SHARE * offer.left_s - idle_s, MIN_QUEUE * work_s
+        )
+        return min(1.0, queue * work_s / allowed_s - 1.0) if allowed_s else 0.0
 
     def gauges(self, now: float) -> dict[str, float]:
         """Returns the current values of the gauges, for metrics."""
-        admitted = self._share.value if self._is_loaded(now) else 1.0
+        admitted = self._share.value if self._is_loaded() else 1.0
         shares = {
             f"admitted_share_rank_{rank}": self._ranks.share(
                 now, rank, admitted
--- a/greengagemoor/admission/fairness.py
+++ b/greengagemoor/admission/fairness.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from greengagemoor.admission.decayed import DecayedCount
+
 RANK_SPAN_S = 3.0
 """Time constant in seconds of the demand by rank."""
 RECENT_SPAN_S = 10.0
@@ -23,24 +25,6 @@
 """Accounts whose demand is kept; those that were idle longest are dropped."""
 
 
-@attrs.define(eq=False)
-class DecayedCount:
-    """A count in which each event's weight decays exponentially."""
-
-    span_s: float
-    value: float = 0.0
-    at: float = 0.0
-
-    def add(self, now: float, number: float) -> None:
-        """Adds events."""
-        self.value = self.at_time(now) + number
-        self.at = now
-
-    def at_time(self, now: float) -> float:
-        """Returns the count at a time."""
-        return self.value * math.exp(-max(0.0, now - self.at) / self.span_s)
-
-
 class RankDemand:
     """Gives the admitted share to the most urgent ranks first."""
 
--- a/greengagemoor/admission/load.py
+++ b/greengagemoor/admission/load.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from greengagemoor.admission.decayed import DecayedMean
+
 REPORT_FRESH_S = 0.5
 """Time constant in seconds of the weight of a searcher's last report."""
 REPORT_KEPT_S = 3.0
@@ -26,40 +28,6 @@
 nothing."""
 
 
-@attrs.define(eq=False)
-class DecayedMean:
-    """A mean in which the weight of a value decays exponentially.
-
-    Attributes:
-        span_s: time constant of the decay in seconds.
-    """
-
-    span_s: float
-    _weight: float = 0.0
-    _sum: float = 0.0
-    _at: float = float("-inf")
-
-    def note(self, now: float, value: float) -> None:
-        """Adds a value of weight 1."""
-        decay = self._decay(now)
-        self._weight = self._weight * decay + 1.0
-        self._sum = self._sum * decay + value
-        self._at = max(now, self._at)
-
-    def mean(self, default: float = 0.0) -> float:
-        """Returns the mean, or a default if there is no value."""
-        return self._sum / self._weight if self._weight else default
-
-    def weight(self, now: float) -> float:
-        """Returns the number of recent values."""
-        return self._weight * self._decay(now)
-
-    def _decay(self, now: float) -> float:
-        if not self._weight:
-            return 0.0
-        return math.exp(-max(0.0, now - self._at) / self.span_s)
-
-
 @attrs.define(eq=False)
 class _Report:
     at: float
@@ -135,6 +103,11 @@
             for key in old:
                 del rows[key]
 
+    @property
+    def mean_queue(self) -> float:
+        """The mean of recent reports of queues, in work times."""
+        return self._queue.mean()
+
     @property
     def busy_share(self) -> float:
         """Share of recent reports in which requests waited."""
--- a/greengagemoor/admission/share.py
+++ b/greengagemoor/admission/share.py
@@ -1,63 +1,118 @@
-"""The admitted share of requests, steered by the expected time."""
+"""The admitted share of requests, steered by the searchers' queues and use."""
 
 from __future__ import annotations
 
 import math
 
+import attrs
+
 MIN_SHARE = 0.05
 """Least admitted share: without any answers nothing would be learnt about the
 end of an overload."""
-MAX_STEP_S = 0.25
-"""Longest time in seconds that one step of the share accounts for."""
-REOPEN_S = 1.0
-"""Time constant in seconds with which the share rises while nothing is
-late."""
-SETTLE_S = 0.8
-"""Time constant in seconds with which the share follows a lasting excess."""
-DRAIN_S = 0.2
-"""Seconds within which an excess of the queue is to be drained. It must not be
-shorter than the age of the reports, or the queue oscillates."""
+STEP_S = 0.15
+"""Shortest time in seconds between two steps. A step shows in reports only when
+requests that were admitted since then are answered."""
+MIN_STEP_REPORTS = 16
+"""Reports below which no step is taken, so that single searchers don't decide."""
+MAX_CUT = 0.5
+"""Largest relative reduction of the share in one step."""
+DRAINING = 0.9
+"""Factor on the queue between steps below which it counts as draining: a
+further reduction would then leave searchers idle after it."""
+TARGET_USE = 0.9
+"""Used share of the slots to which the share is raised."""
+RAISE = 0.1
+"""Rise of the share in one step if half of the target use is reached. Rises are
+sums and reductions factors, so that the shares of different entries become
+equal."""
+PROBE_PER_S = 0.05
+"""Rise of the share per second at the target use without an excess."""
+SILENT_S = 1.0
+"""Seconds without a step after which the share begins to rise, as too few
+requests may be admitted to tell whether the overload has ended."""
+SILENT_RISE_S = 1.5
+"""Time constant in seconds of that rise."""
 
 
+@attrs.define(eq=False)
 class AdmittedShare:
-    """A proportional-integral control of the admitted share.
+    """Cuts the share while queues are too long, else raises it by the use.
 
-    The integral part converges to capacity over demand. The proportional part
-    drains the queue that has built up before. Both are relative changes, so
-    that the loop has the same gain at any overload.
-    """
+    The reduction is in proportion to the excess of the wait, and the rise
+    follows the unused slots. Each entry steps at most as often as it sees the
+    effect, and by factors, so that entries that all see the same end up at the
+    same share.
 
-    def __init__(self):
-        self._base = 1.0
-        self._factor = 1.0
-        self._at: float | None = None
+    Attributes:
+        value: the share, from ``MIN_SHARE`` to 1.
+    """
 
-    @property
-    def value(self) -> float:
-        """The admitted share, from ``MIN_SHARE`` to 1."""
-        return min(1.0, max(MIN_SHARE, self._base * self._factor))
+    value: float = 1.0
+    _start: float = 0.0
+    _reports: int = 0
+    _queues: float = 0.0
+    _used: float = 0.0
+    _last_queue: float = 0.0
+    _stepped_at: float | None = None
 
     @property
     def is_open(self) -> bool:
         """Whether all requests are admitted."""
         return self.value >= 1.0
 
-    def update(self, now: float, excess_s: float) -> None:
-        """Takes a step.
+    def note_report(self, now: float, queue: float, used: float) -> bool:
+        """Records a report.
 
         Args:
             now: seconds.
-            excess_s: seconds by which the queue exceeds what leaves requests
-                in time; below 0 if it may grow.
+            queue: queue of the searcher in work times.
+            used: used share of its slots.
+
+        Returns:
+            Whether a step is due.
         """
-        step_s = 0.0
-        if self._at is not None:
-            step_s = min(max(0.0, now - self._at), MAX_STEP_S)
-        self._at = now
-        relative = max(-1.0, min(1.0, excess_s / DRAIN_S))
-        if relative >= 0:
-            change = -relative * step_s / SETTLE_S
+        if not self._reports:
+            self._start = now
+        self._reports += 1
+        self._queues += queue
+        self._used += used
+        if self._stepped_at is not None and now - self._stepped_at < STEP_S:
+            return False
+        return self._reports >= MIN_STEP_REPORTS
+
+    def step(self, now: float, excess: float) -> None:
+        """Adjusts the share.
+
+        Args:
+            now: seconds.
+            excess: relative excess of the wait over the allowed wait.
+        """
+        queue = self._queues / self._reports
+        used = self._used / self._reports
+        span_s = STEP_S
+        if self._stepped_at is not None:
+            span_s = min(1.0, now - self._stepped_at)
+        if excess > 0:
+            if queue >= DRAINING * self._last_queue:
+                self.value *= 1.0 - MAX_CUT * min(1.0, excess)
+        elif used < TARGET_USE:
+            unused = TARGET_USE / max(used, 0.01) - 1.0
+            self.value += RAISE * min(1.0, unused)
         else:
-            change = step_s / REOPEN_S * min(1.0, -relative * 4)
-        self._base = min(1.0, max(MIN_SHARE, self._base * math.exp(change)))
-        self._factor = 1.0 - max(0.0, relative)
+            self.value += PROBE_PER_S * span_s
+        self.value = min(1.0, max(MIN_SHARE, self.value))
+        self._last_queue = queue
+        self._stepped_at = now
+        self._reports = 0
+        self._queues = self._used = 0.0
+
+    def rise_in_silence(self, now: float) -> None:
+        """Raises the share if no step was taken for long."""
+        if self._stepped_at is None or self.is_open:
+            return
+        silent_s = now - self._stepped_at - SILENT_S
+        if silent_s > 0:
+            self.value = min(
+                1.0, self.value * math.exp(silent_s / SILENT_RISE_S)
+            )
+            self._stepped_at = now - SILENT_S
