Admission: refuse nothing that frees no capacity; detect single short services

The refused share is reduced while fewer than half of the reports show waiting requests, unless more services are short than coverage allows to miss. A rank with less than 5 % of the work is not refused while its requests are in time.

--- a/greengagemoor/admission/controller.py
+++ b/greengagemoor/admission/controller.py
@@ -16,11 +16,17 @@
     from greengagemoor.admission.messages import Load, Offer
 
 MIN_BUSY_SHARE = 0.5
-"""Share of the reports that must show waiting requests. Below it most searchers
-have free slots, and refusing requests would make no other faster."""
+"""Share of the reports that must show waiting requests for the whole effect of
+the admitted share."""
+IDLE_SHARE = 0.3
+"""Share of such reports up to which nothing is refused. Between the two the
+effect grows, so that entries don't open and close together."""
+FREE_WORK_SHARE = 0.05
+"""Share of the work of all requests up to which a rank is not refused if its
+requests are in time: refusing it would free next to no capacity."""
 DEMAND_SPAN_S = 3.0
 """Time constant in seconds of the demand by route."""
-TARGET_SHARE = 0.7
+TARGET_SHARE = 0.6
 """Share of the time to the objective that a request is expected to need at
 most; half of the requests take longer than expected."""
 MIN_QUEUE = 0.5
@@ -103,8 +109,8 @@
     ) -> None:
         if queue is not None:
             used = min(1.0, load.running / load.slots)
-            if self._share.note_report(now, queue, used):
-                self._share.step(now, self._mean_excess(now))
+            if self._share.note_report(now, used):
+                self._step(now)
 
     def note_end(self, now: float, offer: Offer, elapsed_s: float) -> None:
         """Records that an admitted request was answered.
@@ -151,10 +157,10 @@
         """Returns the probability with which a request is admitted."""
         is_returning = offer.waited_s >= RETRIED_WAIT_S
         self._returning.note(now, is_returning)
-        if not self._is_loaded():
-            return 1.0
         self._share.rise_in_silence(now)
-        admitted = self._share.value
+        admitted = self._admitted(now)
+        if admitted >= 1.0 or self._is_free(now, offer):
+            return 1.0
         share = self._ranks.share(now, offer.rank, admitted)
         share = self._accounts.share(now, offer.account, share)
         # Returning callers are admitted more often than others, but the mean
@@ -176,18 +182,47 @@
         )
         return len(offer.services) - shedding >= offer.least_answers
 
-    def _is_loaded(self) -> bool:
-        """Whether most searchers have no free slot, by the last reports."""
-        return self._load.busy_share >= MIN_BUSY_SHARE
+    def _admitted(self, now: float) -> float:
+        """Returns the share of the work of all ranks to admit."""
+        return 1.0 - self._load_factor(now) * (1.0 - self._share.value)
+
+    def _is_free(self, now: float, offer: Offer) -> bool:
+        """Whether a request is in time and refusing its rank frees nothing."""
+        work = self._ranks.work_share(now, offer.rank)
+        return work <= FREE_WORK_SHARE and self._excess(now, offer) <= 0
+
+    def _load_factor(self, now: float) -> float:
+        """Returns the factor on the refused share.
+
+        It is 0 while most searchers have free slots, as refusing requests
+        would then make no other faster, unless single services are short that
+        gathers need.
+        """
+        busy = self._load.busy_share
+        if busy >= MIN_BUSY_SHARE or self._is_service_short(now):
+            return 1.0
+        return max(0.0, (busy - IDLE_SHARE) / (MIN_BUSY_SHARE - IDLE_SHARE))
 
-    def _mean_excess(self, now: float) -> float:
-        """Returns the mean relative excess of the wait, weighted by work."""
-        total = excess = 0.0
+    def _is_service_short(self, now: float) -> bool:
+        return any(
+            sum(self._load.is_short(now, name) for name in offer.services)
+            > len(offer.services) - offer.least_answers
+            for offer in self._offers.values()
+        )
+
+    def _step(self, now: float) -> None:
+        """Adjusts the share by the means over routes, weighted by work."""
+        total = excess = queue = 0.0
         for name, offer in self._offers.items():
             work = self._demand[name].at_time(now)
             total += work
             excess += work * self._excess(now, offer)
-        return excess / total if total else 0.0
+            queue += work * self._queue(now, offer)
+        if not total:
+            return
+        if not self._load_factor(now):
+            excess = min(excess, 0.0)
+        self._share.step(now, excess / total, queue / total)
 
     def _note_demand(self, now: float, offer: Offer) -> None:
         self._offers[offer.route] = offer
@@ -202,20 +237,22 @@
         objective does not outweigh all others.
         """
         work_s = self._load.work_s
-        queue = self._load.needed_queue(
-            now, offer.services, offer.least_answers
-        )
         idle_s = self._idle_s.get(offer.route)
         if idle_s is None:
             idle_s = START_TIME_SHARE * offer.left_s
         allowed_s = max(
             TARGET_SHARE * offer.left_s - idle_s, MIN_QUEUE * work_s
         )
-        return min(1.0, queue * work_s / allowed_s - 1.0) if allowed_s else 0.0
+        if allowed_s <= 0:
+            return 0.0
+        return min(1.0, self._queue(now, offer) * work_s / allowed_s - 1.0)
+
+    def _queue(self, now: float, offer: Offer) -> float:
+        return self._load.needed_queue(now, offer.services, offer.least_answers)
 
     def gauges(self, now: float) -> dict[str, float]:
         """Returns the current values of the gauges, for metrics."""
-        admitted = self._share.value if self._is_loaded() else 1.0
+        admitted = self._admitted(now)
         shares = {
             f"admitted_share_rank_{rank}": self._ranks.share(
                 now, rank, admitted
--- a/greengagemoor/admission/fairness.py
+++ b/greengagemoor/admission/fairness.py
@@ -42,6 +42,11 @@
         """All ranks that had requests, the most urgent first."""
         return sorted(self._demand)
 
+    def work_share(self, now: float, rank: int) -> float:
+        """Returns the share of a rank in the work of all."""
+        total = sum(demand.at_time(now) for demand in self._demand.values())
+        return self._demand[rank].at_time(now) / total if total else 1.0
+
     def share(self, now: float, rank: int, admitted: float) -> float:
         """Returns the share of a rank's requests to admit.
 
--- a/greengagemoor/admission/load.py
+++ b/greengagemoor/admission/load.py
@@ -23,6 +23,15 @@
 median, as the times at slow or paused searchers would distort a mean."""
 SHED_FRESH_S = 1.0
 """Time constant in seconds of a service's share of sends that were shed."""
+LONG_QUEUE = 1.0
+"""Queue in work times from which a report counts as of a long queue."""
+HOT_SPAN_S = 3.0
+"""Time constant in seconds of a service's share of reports of long queues."""
+HOT_SHARE = 0.9
+"""Share of reports of long queues from which a service is short of capacity. If
+one of three searchers has a long queue, the share is lower."""
+MIN_HOT_WEIGHT = 2.5
+"""Number of recent reports below which a service is not found short."""
 MIN_SHED_WEIGHT = 4.0
 """Number of recent sends below which a service's share of shed sends says
 nothing."""
@@ -43,9 +52,9 @@
     def __init__(self):
         self._reports: dict[str, dict[str, _Report]] = {}
         self._sheds: dict[str, DecayedMean] = {}
+        self._hot: dict[str, DecayedMean] = {}
         self._queue = DecayedMean(POOL_FRESH_S)
         self._busy = DecayedMean(POOL_FRESH_S)
-        self._shed = DecayedMean(POOL_FRESH_S)
         self.work_s = 0.0
 
     def note_answer(
@@ -85,7 +94,6 @@
             self._note_queue(now, service, searcher, queue)
 
     def _note_shed(self, now: float, service: str, *, shed: bool) -> None:
-        self._shed.note(now, shed)
         mean = self._sheds.get(service)
         if mean is None:
             mean = self._sheds[service] = DecayedMean(SHED_FRESH_S)
@@ -96,6 +104,9 @@
     ) -> None:
         self._queue.note(now, queue)
         self._busy.note(now, queue > 0)
+        if service not in self._hot:
+            self._hot[service] = DecayedMean(HOT_SPAN_S)
+        self._hot[service].note(now, queue >= LONG_QUEUE)
         rows = self._reports.setdefault(service, {})
         rows[searcher] = _Report(now, queue)
         if len(rows) > 1:
@@ -103,24 +114,19 @@
             for key in old:
                 del rows[key]
 
-    @property
-    def mean_queue(self) -> float:
-        """The mean of recent reports of queues, in work times."""
-        return self._queue.mean()
-
     @property
     def busy_share(self) -> float:
         """Share of recent reports in which requests waited."""
         return self._busy.mean()
 
-    @property
-    def shed_share(self) -> float:
-        """Share of recent sends that were shed."""
-        return self._shed.mean()
-
-    def reports(self, now: float) -> float:
-        """Returns the number of recent reports."""
-        return self._queue.weight(now)
+    def is_short(self, now: float, service: str) -> bool:
+        """Whether all searchers of a service have long queues."""
+        mean = self._hot.get(service)
+        return (
+            mean is not None
+            and mean.weight(now) >= MIN_HOT_WEIGHT
+            and mean.mean() >= HOT_SHARE
+        )
 
     def sheds_all(self, now: float, service: str, share: float) -> bool:
         """Whether a service sheds at least that share of its sends."""
--- a/greengagemoor/admission/share.py
+++ b/greengagemoor/admission/share.py
@@ -13,8 +13,8 @@
 """Shortest time in seconds between two steps. A step shows in reports only when
 requests that were admitted since then are answered."""
 MIN_STEP_REPORTS = 16
-"""Reports below which no step is taken, so that single searchers don't decide."""
-MAX_CUT = 0.5
+"""Reports below which no step is taken: single searchers must not decide."""
+MAX_CUT = 0.7
 """Largest relative reduction of the share in one step."""
 DRAINING = 0.9
 """Factor on the queue between steps below which it counts as draining: a
@@ -25,7 +25,7 @@
 """Rise of the share in one step if half of the target use is reached. Rises are
 sums and reductions factors, so that the shares of different entries become
 equal."""
-PROBE_PER_S = 0.05
+PROBE_PER_S = 0.03
 """Rise of the share per second at the target use without an excess."""
 SILENT_S = 1.0
 """Seconds without a step after which the share begins to rise, as too few
@@ -48,9 +48,7 @@
     """
 
     value: float = 1.0
-    _start: float = 0.0
     _reports: int = 0
-    _queues: float = 0.0
     _used: float = 0.0
     _last_queue: float = 0.0
     _stepped_at: float | None = None
@@ -60,34 +58,30 @@
         """Whether all requests are admitted."""
         return self.value >= 1.0
 
-    def note_report(self, now: float, queue: float, used: float) -> bool:
+    def note_report(self, now: float, used: float) -> bool:
         """Records a report.
 
         Args:
             now: seconds.
-            queue: queue of the searcher in work times.
-            used: used share of its slots.
+            used: used share of the searcher's slots.
 
         Returns:
             Whether a step is due.
         """
-        if not self._reports:
-            self._start = now
         self._reports += 1
-        self._queues += queue
         self._used += used
         if self._stepped_at is not None and now - self._stepped_at < STEP_S:
             return False
         return self._reports >= MIN_STEP_REPORTS
 
-    def step(self, now: float, excess: float) -> None:
+    def step(self, now: float, excess: float, queue: float) -> None:
         """Adjusts the share.
 
         Args:
             now: seconds.
             excess: relative excess of the wait over the allowed wait.
+            queue: queue of the services that requests wait for.
         """
-        queue = self._queues / self._reports
         used = self._used / self._reports
         span_s = STEP_S
         if self._stepped_at is not None:
@@ -97,14 +91,14 @@
                 self.value *= 1.0 - MAX_CUT * min(1.0, excess)
         elif used < TARGET_USE:
             unused = TARGET_USE / max(used, 0.01) - 1.0
-            self.value += RAISE * min(1.0, unused)
+            self.value += RAISE * min(1.0, unused) * span_s / STEP_S
         else:
             self.value += PROBE_PER_S * span_s
         self.value = min(1.0, max(MIN_SHARE, self.value))
         self._last_queue = queue
         self._stepped_at = now
         self._reports = 0
-        self._queues = self._used = 0.0
+        self._used = 0.0
 
     def rise_in_silence(self, now: float) -> None:
         """Raises the share if no step was taken for long."""
--- a/greengagemoor/forward/completion.py
+++ b/greengagemoor/forward/completion.py
@@ -37,9 +37,10 @@
     Ending.NOT_RUN_SUSPECT: 0.3,
     Ending.NOT_RUN_QUARANTINED: 60.0,
 }
-"""Seconds after which a caller should retry, for endings with a fixed time. The
-admission controller chooses that of ``NOT_RUN_OVERLOAD``. A searcher restarts in about the
-time of its longest pauses, and a queue drains in the time of a few requests."""
+"""Seconds after which a caller should retry, for endings with a fixed time; the
+admission controller chooses that of ``NOT_RUN_OVERLOAD``. A searcher restarts
+in about the time of its longest pauses, and a queue drains in the time of a few
+requests."""
 
 
 def check(tables: Tables, request: Request) -> None:
--- a/tests/test_admission/__init__.py
+++ b/tests/test_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission control."""
