--- a/greengagemoor/admission/controller.py
+++ b/greengagemoor/admission/controller.py
@@ -21,6 +21,8 @@
 IDLE_SHARE = 0.3
 """Share of such reports up to which nothing is refused. Between the two the
 effect grows, so that entries don't open and close together."""
+MAX_EXCESS = 4.0
+"""Bound of the relative excess of the wait of one route."""
 FREE_WORK_SHARE = 0.05
 """Share of the work of all requests up to which a rank is not refused if its
 requests are in time: refusing it would free next to no capacity."""
@@ -233,7 +235,7 @@
     def _excess(self, now: float, offer: Offer) -> float:
         """Returns how much longer than allowed a request would wait.
 
-        As a share of the allowed wait; at most 1, so that a route with a short
+        As a share of the allowed wait; bounded, so that a route with a short
         objective does not outweigh all others.
         """
         work_s = self._load.work_s
@@ -245,7 +247,8 @@
         )
         if allowed_s <= 0:
             return 0.0
-        return min(1.0, self._queue(now, offer) * work_s / allowed_s - 1.0)
+        excess = self._queue(now, offer) * work_s / allowed_s - 1.0
+        return min(MAX_EXCESS, excess)
 
     def _queue(self, now: float, offer: Offer) -> float:
         return self._load.needed_queue(now, offer.services, offer.least_answers)
