Admission: queues of searchers that report before they start the next request

A searcher that counts its answered request as ended reports a free slot although requests wait, and its queue was ignored. At its own rate with 15 % of the searchers slow nothing is refused. A first reduction needs a mean queue of 1.5 work times. Replay tests of the scenarios.

--- a/greengagemoor/admission/controller.py
+++ b/greengagemoor/admission/controller.py
@@ -21,8 +21,12 @@
 IDLE_SHARE = 0.3
 """Share of such reports up to which nothing is refused. Between the two the
 effect grows, so that entries don't open and close together."""
-MAX_EXCESS = 4.0
+MAX_EXCESS = 1.0
 """Bound of the relative excess of the wait of one route."""
+START_QUEUE = 1.5
+"""Mean queue in work times from which an open share is reduced. At 0.8 of the
+capacity the estimates for single services exceed what is allowed by chance; the
+mean over all stays below this."""
 FREE_WORK_SHARE = 0.05
 """Share of the work of all requests up to which a rank is not refused if its
 requests are in time: refusing it would free next to no capacity."""
@@ -110,7 +114,8 @@
         self, now: float, load: Load | None, queue: float | None
     ) -> None:
         if queue is not None:
-            used = min(1.0, load.running / load.slots)
+            running = load.running + min(load.waiting, 1)
+            used = min(1.0, running / load.slots)
             if self._share.note_report(now, used):
                 self._step(now)
 
@@ -222,10 +227,18 @@
             queue += work * self._queue(now, offer)
         if not total:
             return
-        if not self._load_factor(now):
+        if not self._may_cut(now):
             excess = min(excess, 0.0)
         self._share.step(now, excess / total, queue / total)
 
+    def _may_cut(self, now: float) -> bool:
+        """Whether queues are long enough to reduce the share."""
+        if self._is_service_short(now):
+            return True
+        if self._share.is_open:
+            return self._load.mean_queue >= START_QUEUE
+        return self._load_factor(now) > 0
+
     def _note_demand(self, now: float, offer: Offer) -> None:
         self._offers[offer.route] = offer
         if offer.route not in self._demand:
@@ -269,6 +282,7 @@
     """Returns how many requests wait per slot; 0 if a slot is free."""
     if load is None or load.slots <= 0:
         return None
-    if load.running < load.slots:
+    # A searcher may count a request as ended before it starts the next one.
+    if load.running < load.slots - 1:
         return 0.0
     return load.waiting / load.slots
--- a/greengagemoor/admission/load.py
+++ b/greengagemoor/admission/load.py
@@ -114,6 +114,11 @@
             for key in old:
                 del rows[key]
 
+    @property
+    def mean_queue(self) -> float:
+        """The mean of recent reports of queues, in work times."""
+        return self._queue.mean()
+
     @property
     def busy_share(self) -> float:
         """Share of recent reports in which requests waited."""
--- a/greengagemoor/admission/share.py
+++ b/greengagemoor/admission/share.py
@@ -16,9 +16,6 @@
 """Reports below which no step is taken: single searchers must not decide."""
 MAX_CUT = 0.7
 """Largest relative reduction of the share in one step."""
-OPEN_EXCESS = 3.0
-"""Relative excess from which an open share is reduced. At 0.8 of the capacity
-queues exceed what is allowed for a few tenths of a second."""
 DRAINING = 0.9
 """Factor on the queue between steps below which it counts as draining: a
 further reduction would then leave searchers idle after it."""
@@ -89,11 +86,9 @@
         span_s = STEP_S
         if self._stepped_at is not None:
             span_s = min(1.0, now - self._stepped_at)
-        if excess > (OPEN_EXCESS if self.is_open else 0.0):
+        if excess > 0:
             if queue >= DRAINING * self._last_queue:
                 self.value *= 1.0 - MAX_CUT * min(1.0, excess)
-        elif excess > 0:
-            pass
         elif used < TARGET_USE:
             unused = TARGET_USE / max(used, 0.01) - 1.0
             self.value += RAISE * min(1.0, unused) * span_s / STEP_S
--- a/tests/test_admission/fleet.py
+++ b/tests/test_admission/fleet.py
@@ -64,6 +64,7 @@
     account: str
     first_at: float
     arrived_at: float
+    entries: range = range(1)
     refusals: int = 0
     offer: Offer | None = None
     answered: int = 0
@@ -189,7 +190,9 @@
     def all_searchers(self):
         return [one for row in self.searchers for one in row]
 
-    def load(self, start, end, of_capacity, factors=None, accounts=None):
+    def load(
+        self, start, end, of_capacity, factors=None, accounts=None, entries=None
+    ):
         """Adds arrivals from ``start`` to ``end``.
 
         Args:
@@ -198,6 +201,7 @@
             of_capacity: load without factors, relative to the capacity.
             factors: factor on the rate by name of the kind.
             accounts: weights by name, in place of the fleet's.
+            entries: entries that get the requests; None for all.
         """
         factors = factors or {}
         weights = accounts or self.accounts
@@ -213,7 +217,9 @@
                 if at >= end:
                     break
                 account = self.rng.choices(names, shares)[0]
-                self.at(at, self._arrive, Request(kind, 0, account, at, at))
+                request = Request(kind, 0, account, at, at)
+                request.entries = entries or range(len(self.entries))
+                self.at(at, self._arrive, request)
 
     def at(self, time, call, *args):
         heapq.heappush(self._events, (time, next(self._ids), call, args))
@@ -227,7 +233,7 @@
 
     def _arrive(self, now, request):
         kind = request.kind
-        request.entry = self.rng.randrange(len(self.entries))
+        request.entry = self.rng.choice(request.entries)
         request.arrived_at = now
         request.offer = self._offer(now, request)
         figures = self.figures
