Admission: start only when the expected time exceeds the objective

Below it refusals cost answers that would have been in time. The share also rises while the wait is shorter than allowed.

--- a/greengagemoor/admission/controller.py
+++ b/greengagemoor/admission/controller.py
@@ -23,6 +23,9 @@
 effect grows, so that entries don't open and close together."""
 MAX_EXCESS = 1.0
 """Bound of the relative excess of the wait of one route."""
+START_EXPECTED = 1.0
+"""Expected time relative to the objective from which an open share is
+reduced."""
 START_QUEUE = 1.5
 """Mean queue in work times from which an open share is reduced. At 0.8 of the
 capacity the estimates for single services exceed what is allowed by chance; the
@@ -219,24 +222,31 @@
 
     def _step(self, now: float) -> None:
         """Adjusts the share by the means over routes, weighted by work."""
-        total = excess = queue = 0.0
+        total = excess = queue = expected = 0.0
+        mean_wait_s = self._load.mean_queue * self._load.work_s
         for name, offer in self._offers.items():
             work = self._demand[name].at_time(now)
             total += work
             excess += work * self._excess(now, offer)
             queue += work * self._queue(now, offer)
+            expected_s = self._time_without_queue(offer) + mean_wait_s
+            expected += work * expected_s / offer.left_s
         if not total:
             return
-        if not self._may_cut(now):
+        if not self._may_cut(now, expected / total):
             excess = min(excess, 0.0)
         self._share.step(now, excess / total, queue / total)
 
-    def _may_cut(self, now: float) -> bool:
+    def _may_cut(self, now: float, expected: float) -> bool:
         """Whether queues are long enough to reduce the share."""
         if self._is_service_short(now):
             return True
         if self._share.is_open:
-            return self._load.mean_queue >= START_QUEUE
+            return (
+                self._load.busy_share >= MIN_BUSY_SHARE
+                and self._load.mean_queue >= START_QUEUE
+                and expected >= START_EXPECTED
+            )
         return self._load_factor(now) > 0
 
     def _note_demand(self, now: float, offer: Offer) -> None:
@@ -252,17 +262,19 @@
         objective does not outweigh all others.
         """
         work_s = self._load.work_s
-        idle_s = self._idle_s.get(offer.route)
-        if idle_s is None:
-            idle_s = START_TIME_SHARE * offer.left_s
         allowed_s = max(
-            TARGET_SHARE * offer.left_s - idle_s, MIN_QUEUE * work_s
+            TARGET_SHARE * offer.left_s - self._time_without_queue(offer),
+            MIN_QUEUE * work_s,
         )
         if allowed_s <= 0:
             return 0.0
         excess = self._queue(now, offer) * work_s / allowed_s - 1.0
         return min(MAX_EXCESS, excess)
 
+    def _time_without_queue(self, offer: Offer) -> float:
+        known_s = self._idle_s.get(offer.route)
+        return START_TIME_SHARE * offer.left_s if known_s is None else known_s
+
     def _queue(self, now: float, offer: Offer) -> float:
         return self._load.needed_queue(now, offer.services, offer.least_answers)
 
--- a/greengagemoor/admission/share.py
+++ b/greengagemoor/admission/share.py
@@ -25,7 +25,7 @@
 """Rise of the share in one step if half of the target use is reached. Rises are
 sums and reductions factors, so that the shares of different entries become
 equal."""
-PROBE_PER_S = 0.03
+ROOM = 0.3
 """Rise of the share per second at the target use without an excess."""
 SILENT_S = 1.0
 """Seconds without a step after which the share begins to rise, as too few
@@ -89,11 +89,10 @@
         if excess > 0:
             if queue >= DRAINING * self._last_queue:
                 self.value *= 1.0 - MAX_CUT * min(1.0, excess)
-        elif used < TARGET_USE:
-            unused = TARGET_USE / max(used, 0.01) - 1.0
-            self.value += RAISE * min(1.0, unused) * span_s / STEP_S
         else:
-            self.value += PROBE_PER_S * span_s
+            unused = TARGET_USE / max(used, 0.01) - 1.0
+            room = max(unused, -ROOM * excess)
+            self.value += RAISE * min(1.0, room) * span_s / STEP_S
         self.value = min(1.0, max(MIN_SHARE, self.value))
         self._last_queue = queue
         self._stepped_at = now
