--- a/greengagemoor/admission/controller.py
+++ b/greengagemoor/admission/controller.py
@@ -18,6 +18,10 @@
 MIN_BUSY_SHARE = 0.5
 """Share of the reports that must show waiting requests for the whole effect of
 the admitted share."""
+CUT_BUSY_SHARE = 0.4
+"""Share of such reports from which a share that is not open is reduced further.
+At 0.3, entries stayed nearly closed for seconds after an overload; at 0.5, less
+value was served while half of the searchers shed."""
 IDLE_SHARE = 0.3
 """Share of such reports up to which nothing is refused. Between the two the
 effect grows, so that entries don't open and close together."""
@@ -241,13 +245,12 @@
         """Whether queues are long enough to reduce the share."""
         if self._is_service_short(now):
             return True
-        if self._share.is_open:
-            return (
-                self._load.busy_share >= MIN_BUSY_SHARE
-                and self._load.mean_queue >= START_QUEUE
-                and expected >= START_EXPECTED
-            )
-        return self._load_factor(now) > 0
+        busy = self._load.busy_share
+        if not self._share.is_open:
+            return busy >= CUT_BUSY_SHARE
+        return busy >= MIN_BUSY_SHARE and (
+            self._load.mean_queue >= START_QUEUE and expected >= START_EXPECTED
+        )
 
     def _note_demand(self, now: float, offer: Offer) -> None:
         self._offers[offer.route] = offer
--- a/greengagemoor/admission/share.py
+++ b/greengagemoor/admission/share.py
@@ -21,12 +21,13 @@
 further reduction would then leave searchers idle after it."""
 TARGET_USE = 0.9
 """Used share of the slots to which the share is raised."""
-RAISE = 0.1
+RAISE = 0.5
 """Rise of the share in one step if half of the target use is reached. Rises are
 sums and reductions factors, so that the shares of different entries become
 equal."""
-ROOM = 0.3
-"""Rise of the share per second at the target use without an excess."""
+PROBE = 0.03
+"""Rise of the share in one step if no wait is expected although all slots are
+used."""
 SILENT_S = 1.0
 """Seconds without a step after which the share begins to rise, as too few
 requests may be admitted to tell whether the overload has ended."""
@@ -91,8 +92,8 @@
                 self.value *= 1.0 - MAX_CUT * min(1.0, excess)
         else:
             unused = TARGET_USE / max(used, 0.01) - 1.0
-            room = max(unused, -ROOM * excess)
-            self.value += RAISE * min(1.0, room) * span_s / STEP_S
+            rise = max(RAISE * min(1.0, unused), -PROBE * excess)
+            self.value += rise * span_s / STEP_S
         self.value = min(1.0, max(MIN_SHARE, self.value))
         self._last_queue = queue
         self._stepped_at = now
