--- a/greengagemoor/admission/controller.py
+++ b/greengagemoor/admission/controller.py
@@ -6,7 +6,7 @@
 
 from greengagemoor.admission.decayed import DecayedCount, DecayedMean
 from greengagemoor.admission.fairness import AccountDemand, RankDemand
-from greengagemoor.admission.load import LoadEstimate
+from greengagemoor.admission.load import LoadEstimate, queue_per_slot
 from greengagemoor.admission.messages import Rejection
 from greengagemoor.admission.share import MIN_SHARE, AdmittedShare
 
@@ -105,7 +105,7 @@
             send_s: seconds from the send to the answer.
             load: the load that it reported.
         """
-        queue = _queue(load)
+        queue = queue_per_slot(load)
         self._load.note_answer(now, service, searcher, send_s, queue)
         self._note_report(now, load, queue)
 
@@ -113,7 +113,7 @@
         self, now: float, service: str, searcher: str, load: Load | None
     ) -> None:
         """Records that a searcher refused to run a send."""
-        queue = _queue(load)
+        queue = queue_per_slot(load)
         self._load.note_shed(now, service, searcher, queue)
         self._note_report(now, load, queue)
 
@@ -291,13 +291,3 @@
             for rank in self._ranks.ranks
         }
         return {"refused_overload_total": self._refused, **shares}
-
-
-def _queue(load: Load | None) -> float | None:
-    """Returns how many requests wait per slot; 0 if a slot is free."""
-    if load is None or load.slots <= 0:
-        return None
-    # A searcher may count a request as ended before it starts the next one.
-    if load.running < load.slots - 1:
-        return 0.0
-    return load.waiting / load.slots
--- a/greengagemoor/admission/load.py
+++ b/greengagemoor/admission/load.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 import attrs
 
 from greengagemoor.admission.decayed import DecayedMean
 
+if TYPE_CHECKING:
+    from greengagemoor.admission.messages import Load
+
 REPORT_FRESH_S = 0.5
 """Time constant in seconds of the weight of a searcher's last report."""
 REPORT_KEPT_S = 3.0
@@ -172,3 +176,13 @@
         """
         queues = sorted(self.queue(now, name) for name in services)
         return queues[min(least, len(queues)) - 1] if queues else 0.0
+
+
+def queue_per_slot(load: Load | None) -> float | None:
+    """Returns how many requests wait per slot; 0 if a slot is free."""
+    if load is None or load.slots <= 0:
+        return None
+    # A searcher may count a request as ended before it starts the next one.
+    if load.running < load.slots - 1:
+        return 0.0
+    return load.waiting / load.slots
--- a/greengagemoor/admission/messages.py
+++ b/greengagemoor/admission/messages.py
@@ -28,7 +28,6 @@
         waited_s: seconds for which its caller has waited before, in an earlier
             attempt.
         least_answers: number of services that must answer.
-        usable: number of services that have a usable searcher.
     """
 
     route: str
@@ -39,7 +38,6 @@
     account: str = ""
     waited_s: float = 0.0
     least_answers: int = 1
-    usable: int | None = None
 
 
 @values.frozen
