--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -31,6 +31,7 @@
     NOT_RUN_QUARANTINED = "not_run_quarantined"
     NOT_RUN_QUOTA = "not_run_quota"
     NOT_RUN_NO_QUOTA = "not_run_no_quota"
+    NOT_RUN_OVERLOAD = "not_run_overload"
     CALLER_GONE = "caller_gone"
 
 
@@ -44,6 +45,7 @@
         Ending.NOT_RUN_QUARANTINED,
         Ending.NOT_RUN_QUOTA,
         Ending.NOT_RUN_NO_QUOTA,
+        Ending.NOT_RUN_OVERLOAD,
     }
 )
 
@@ -78,6 +80,7 @@
     WAITS = "waits"
     HELD = "held"
     TRIAL = "trial"
+    REFUSED = "refused"
     ENDED = "ended"
 
 
@@ -92,7 +95,7 @@
         own: sends of this entry in flight at the searcher before this one.
         others: requests of other entries there, as it last reported.
         load_age_s: age of that report in seconds.
-        note: the outcome of a send that ended.
+        note: the outcome of a send that ended; the reason of a refusal.
     """
 
     kind: StepKind
--- a/greengagemoor/log_analysis/explain.py
+++ b/greengagemoor/log_analysis/explain.py
@@ -26,6 +26,7 @@
     "not_run_quarantined": "it crashes the searchers that run it",
     "not_run_quota": "its account was over its quota",
     "not_run_no_quota": "no control instance told the quota of its account",
+    "not_run_overload": "capacity was short, or too few shards could answer",
     "not_run_deadline": "its deadline had passed when it arrived",
 }
 
@@ -33,6 +34,7 @@
     "quota": "held until then for the quota of its account",
     "waits": "waits: no searcher has a free connection",
     "held": "held until a trial of this request has completed",
+    "refused": "refused by admission control before anything was sent",
     "trial": "the send is the trial of this request",
 }
 
