--- a/greengagemoor/admission/controller.py
+++ b/greengagemoor/admission/controller.py
@@ -20,8 +20,7 @@
 the admitted share."""
 CUT_BUSY_SHARE = 0.4
 """Share of such reports from which a share that is not open is reduced further.
-At 0.3, entries stayed nearly closed for seconds after an overload; at 0.5, less
-value was served while half of the searchers shed."""
+Above ``IDLE_SHARE``, so that entries reopen soon after an overload."""
 IDLE_SHARE = 0.3
 """Share of such reports up to which nothing is refused. Between the two the
 effect grows, so that entries don't open and close together."""
