--- a/greengagemoor/forward/admission_reports.py
+++ b/greengagemoor/forward/admission_reports.py
@@ -14,6 +14,8 @@
 
 def note_send_end(tables: Tables, attempt: Attempt, msg: AttemptEnded) -> None:
     """Reports the answer to a send, or that it was shed."""
+    if tables.admission is None:
+        return
     load = None
     if msg.answer is not None and msg.answer.load is not None:
         reported = msg.answer.load
--- a/greengagemoor/forward/admitting.py
+++ b/greengagemoor/forward/admitting.py
@@ -19,6 +19,8 @@
     Returns:
         Whether it was refused.
     """
+    if tables.admission is None:
+        return False
     request.offer = _offer(tables, request)
     rejection = tables.admission.decide(tables.now, request.offer)
     if rejection is None:
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -144,7 +144,7 @@
             **tables.suspects.counts(),
             "requests_held": sum(len(t.held) for t in tables.trials.values()),
             "leaving_delay_seconds": tables.answer_delay.usual_s,
-            **tables.admission.gauges(now),
+            **(tables.admission.gauges(now) if tables.admission else {}),
             "searchers_evacuated": self._count_evacuated(),
             "searchers_assigned": self._count_assigned(),
             "entry_rank": -1 if tables.place is None else tables.place.rank,
--- a/greengagemoor/forward/policy.py
+++ b/greengagemoor/forward/policy.py
@@ -31,6 +31,8 @@
             connection.
         min_sharers: least number of entries among which a connection cap and
             the retry slack are divided.
+        admission_control: whether requests are refused when capacity is
+            insufficient.
     """
 
     retry_ratio: float = 0.17
@@ -44,3 +46,4 @@
     linger_s: float = 0.03
     max_wait_share: float = 0.2
     min_sharers: int = 10
+    admission_control: bool = False
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -247,7 +247,8 @@
         unreported: fingerprints of rows to be reported to the control
             instances, and whether others may know the request already.
         to_review: fingerprints of requests whose standing may have changed.
-        admission: decides which requests run when capacity is insufficient.
+        admission: decides which requests run when capacity is insufficient;
+            None if all are admitted.
     """
 
     data_centre: str
@@ -296,10 +297,12 @@
     origins: dict[tuple[str, int], Request] = attrs.field(factory=dict)
     ids: count = attrs.field(factory=lambda: count(1))
     timers: list = attrs.field(factory=list)
-    admission: AdmissionController = attrs.field()
+    admission: AdmissionController | None = attrs.field()
 
     @admission.default
-    def _create_admission(self) -> AdmissionController:
+    def _create_admission(self) -> AdmissionController | None:
+        if not self.policy.admission_control:
+            return None
         # A source of its own, so that the draws of selection are the same
         # with and without admission control.
         return AdmissionController(random.Random(repr(self.rng.getstate())))
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -85,6 +85,7 @@
             retry_ratio=cfg.retry_ratio * RETRY_BUDGET_SHARE,
             retry_slack=cfg.retry_slack * RETRY_BUDGET_SHARE,
             retry_window_s=cfg.retry_window_s,
+            admission_control=cfg.admission_control,
         )
         self._dialect = dialect
         own_row = feed.Subscribe(
--- a/greengagemoor/serving/settings.py
+++ b/greengagemoor/serving/settings.py
@@ -46,6 +46,8 @@
         quota_overage: what an account may send beyond its quota in a window,
             as a share of the quota.
         quota_slack: requests that it may send in addition.
+        admission_control: whether requests are refused before anything is sent
+            when capacity is insufficient (entries).
         link_bytes_per_s: capacity of this process's network link, 0 if not
             given.
         processor_cores: speed of this process's processor in cores, 0 if not
@@ -88,6 +90,7 @@
         default=0.0, validator=in_range(0, 1e6)
     )
     memory_bytes: float = attrs.field(default=0.0, validator=in_range(0, 1e15))
+    admission_control: bool = False
     data_centres: tuple[str, ...] = ()
     seed: int = 0
 
--- a/tests/test_forward/test_admitting.py
+++ b/tests/test_forward/test_admitting.py
@@ -39,6 +39,18 @@
     return bench, controller
 
 
+class TestSetting:
+    """Admission control is off unless the settings ask for it."""
+
+    def test_off_by_default(self):
+        assert Bench().decider.tables.admission is None
+
+    def test_on(self):
+        bench = Bench(admission_control=True)
+        assert bench.decider.tables.admission is not None
+        assert "refused_overload_total" in bench.decider.gauges()
+
+
 class TestRefusal:
     """A refused request has truly not run: nothing of it was sent."""
 
@@ -104,7 +116,7 @@
     """The decider's gauges include those of admission control."""
 
     def test_share_by_rank_and_refused(self):
-        bench = Bench(services=4)
+        bench = Bench(services=4, admission_control=True)
         bench.arrive(gather(rank=1))
         gauges = bench.decider.gauges()
         assert gauges["refused_overload_total"] == 0
