--- /dev/null
+++ b/review/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the review: platform, searchers, operator and clients."""
