--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,11 +17,15 @@
 from stand_ins import wire  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HOST, PATH = "rapport.example", "/rapports/"
-WORK_S = 2.4
-"""Work of a report; all end within the grace time, 5.5 to 5.9 s after it began.
+HOST, PATH = "dossier.example", "/archive/"
+WORK_S, SLOW_SPEED, COLD_FACTOR = 1.15, 1.3, 1.6
+"""Work of a large dossier; the site file has up to 1.3 s, times 1.3 at its
+slowest searchers, times 1.6 in the first 3 s after a searcher's start. All end
+within the grace time, 5.5 to 5.9 s after it began.
 """
-SEND_AT_S = (0.5, 1.5, 3.1, 3.2, 3.3, 3.4, 3.5)
+COLD_S = 3.0
+START_SEARCHERS_S = 1.5
+SEND_AT_S = (3.1, 3.2, 3.3, 3.4, 3.5)
 """Seconds after SIGTERM at which requests are sent, each on a new connection.
 """
 LATEST_EXCUSED_S = 3.0
@@ -42,10 +46,11 @@
         name = searcher.searcher_id
         self.ran.append(request_id)
         self.record.note(f"searcher: {name} runs {request_id}")
-        await asyncio.sleep(WORK_S)
+        factor = COLD_FACTOR if searcher.cold_left_s else 1.0
+        await asyncio.sleep(WORK_S * SLOW_SPEED * factor)
         self.record.note(f"searcher: {name} answers {request_id}")
         stamp = f"{name}.{len(self.ran):x}.{request_id}"
-        connection.write_answer(200, request_id, stamp, b"a report\n")
+        connection.write_answer(200, request_id, stamp, b"a dossier\n")
         return True
 
 
@@ -69,7 +74,7 @@
     request_id = f"{random.getrandbits(64):016x}"
     client = wire.Client(site.record, address)
     answer = await client.send(
-        "POST", HOST, PATH + "2f", request_id, DEADLINE_MS, b"month=11"
+        "POST", HOST, PATH + "2f", request_id, DEADLINE_MS, b"dossier=7"
     )
     client.close()
     return after_s, request_id, answer.status if answer is not None else None
@@ -79,25 +84,19 @@
     """Plays the case; returns the exit code."""
     record = fleet.record
     site = Site(record)
-    searchers = [
-        wire.Searcher(fleet, "rapports", fleets.ZONES[i % 3], 6, site.serve)
-        for i in range(3)
-    ]
     operator = wire.Operator(fleet)
     route = {
-        "name": "r-rapport",
+        "name": "r-dossier",
         "hostname": HOST,
         "path-prefix": PATH,
         "route-type": "unsafe",
         "timeout-ms": 5000,
-        "target-latency-ms": 3000,
+        "target-latency-ms": 854,
         "priority": 2,
-        "backend": "rapports",
+        "backend": "archives",
         "max-attempts": 2,
     }
-    for searcher in searchers:
-        await searcher.start()
-    services = [wire.service("rapports", 110)]
+    services = [wire.service("archives", 110)]
     await operator.put(wire.config(1, [route], services))
     stopped = fleet.front_ips[0]
     for ip in fleet.front_ips:
@@ -111,9 +110,17 @@
         raise fleets.CaseError("the directory does not name the entry")
     if TROUBLE:
         fleet.signal(stopped, signal.SIGTERM)
-    results = await asyncio.gather(
+    sends = asyncio.gather(
         *(send_later(site, address, after_s) for after_s in SEND_AT_S)
     )
+    await asyncio.sleep(START_SEARCHERS_S)
+    searchers = [
+        wire.Searcher(fleet, "archives", zone, 6, site.serve, COLD_S)
+        for zone in fleets.ZONES
+    ]
+    for searcher in searchers:
+        await searcher.start()
+    results = await sends
     for searcher in searchers:
         searcher.stop()
     lost = [
--- a/review/stand_ins/wire.py
+++ b/review/stand_ins/wire.py
@@ -194,6 +194,7 @@
     """A searcher: announces itself, answers health checks and requests.
 
     Attributes:
+        cold_until: until then it is slow, as it has just started.
         serve: handles a request on a connection; returns whether the
             connection is kept.
     """
@@ -205,7 +206,9 @@
         zone: str,
         slots: int,
         serve: Callable,
+        cold_s: float = 0.0,
     ):
+        self.cold_until = time.monotonic() + cold_s
         self.searcher_id = f"i-{random.getrandbits(40):010x}"
         self.service = service
         self.address = ""
@@ -218,6 +221,11 @@
         self._tasks: list[asyncio.Task] = []
         self._server: asyncio.Server | None = None
 
+    @property
+    def cold_left_s(self) -> float:
+        """How much longer the searcher is slow after its start."""
+        return max(0.0, self.cold_until - time.monotonic())
+
     async def start(self) -> None:
         """Listens and starts to announce itself."""
         self._server = await asyncio.start_server(
@@ -246,7 +254,7 @@
                 "version": "v1",
                 "slots": self._slots,
                 "state": "ready",
-                "cold-left-ms": 0,
+                "cold-left-ms": int(1000 * self.cold_left_s),
                 "seq-no": self._sequence,
                 "born": self._born,
             }
