Metrics of skipped responses and of those ended by their connection

Nothing told by which path: a response to another request that was skipped left no trace, nor did one that was completed by the end of its connection.

--- a/greengagemoor/aio/client.py
+++ b/greengagemoor/aio/client.py
@@ -154,6 +154,7 @@
             return
         if self._status >= 200:
             self._must_close = True
+            self._pool.skipped_count += 1
         self._headers.clear()
         self._body.clear()
         self._size = 0
@@ -185,6 +186,7 @@
         """Completes a response that ends with its connection."""
         if self._done is not None and self._has_no_length():
             done, self._done = self._done, None
+            self._pool.ended_by_close_count += 1
             answer = HttpResponse(
                 self._status,
                 tuple(self._headers),
--- a/greengagemoor/aio/pool.py
+++ b/greengagemoor/aio/pool.py
@@ -24,12 +24,20 @@
 
 
 class Pool:
-    """Idle connections by address; opens new ones when none is idle."""
+    """Idle connections by address; opens new ones when none is idle.
+
+    Attributes:
+        opened_count: connections opened, probes included.
+        skipped_count: responses skipped because they belong to another request.
+        ended_by_close_count: responses completed by the end of the connection.
+    """
 
     def __init__(self):
         self._idle: dict[str, list[ClientConnection]] = {}
         self._loop = asyncio.get_running_loop()
         self.opened_count = 0
+        self.skipped_count = 0
+        self.ended_by_close_count = 0
         self._probes: set[asyncio.Task] = set()
 
     def send(
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -313,6 +313,10 @@
             "link_bytes_sent_total": self._links.sent_bytes,
             "peer_bytes_sent_total": self._peers.sent_bytes,
             "searcher_connections_opened_total": self._pool.opened_count,
+            "searcher_responses_skipped_total": self._pool.skipped_count,
+            "searcher_responses_ended_by_close_total": (
+                self._pool.ended_by_close_count
+            ),
             "caller_connections": len(self._callers.conns),
             "tick_failures_total": self._ticker.failures,
             "log_lines_lost_total": log.dropped_lines(),
--- a/tests/test_aio/test_client.py
+++ b/tests/test_aio/test_client.py
@@ -66,11 +66,13 @@
 
         async def main():
             async with raw_server(script) as address:
-                return await ask(Pool(), address)
+                pool = Pool()
+                return await ask(pool, address), pool.ended_by_close_count
 
-        answer = run(main())
+        answer, ended_by_close_count = run(main())
         assert answer.body == b"all of it"
         assert answer.closes
+        assert ended_by_close_count == 1
 
 
 class TestTruncated:
@@ -137,13 +139,16 @@
 
         async def main():
             async with raw_server(script) as address:
-                return await ask(Pool(), address, echoes_id(b"new"))
+                pool = Pool()
+                answer = await ask(pool, address, echoes_id(b"new"))
+                return answer, pool.skipped_count
 
-        answer = run(main())
+        answer, skipped_count = run(main())
         assert isinstance(answer, HttpResponse)
         assert answer.body == b"right"
         assert answer.headers[0] == (b"Id", b"new")
         assert (b"Stamp", b"old") not in answer.headers
+        assert skipped_count == 1
 
     def test_duplicate_response_comes_second(self):
         """The connection is not reused, so the duplicate is discarded."""
