A response without a length is compared with the request's id

Cause: the client compared the id where the parser reports the end of a message. It reports none for a response without a length, which was completed at the end of its connection without the comparison.

The id is now compared once, when the head is complete, and both ways of completing a response depend on it, so no framing can skip it. A response of its own that ends with its connection is delivered as before (test_own_response_without_length, test_until_close). One to another request that has no length fails the send at once: nothing that follows can be the response.

The same cause on related paths, with tests: a duplicate refusal without a length; a connection that ends after a duplicate with a length (an empty 200 was completed) or within the headers of the next response.

--- a/greengagemoor/aio/client.py
+++ b/greengagemoor/aio/client.py
@@ -92,15 +92,19 @@
         self._done = done
         self._matches_request = matches_request
         self._received_bytes = False
-        self._status = 0
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._size = 0
+        self._reset_response()
         self._complete = False
         self._keep_alive = False
         self._parser = httptools.HttpResponseParser(self)
         self.transport.write(data)
 
+    def _reset_response(self) -> None:
+        self._status = 0
+        self._is_match = False
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._size = 0
+
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; closes on bytes without a request in flight."""
         if self._done is None:
@@ -114,6 +118,10 @@
             return
         if self._complete:
             self._finish()
+        elif not self._is_match and self._ends_with_connection():
+            # Nothing that follows on this connection can be the response.
+            self._pool.skipped_count += 1
+            self._fail("response without a length to another request")
 
     def on_message_begin(self) -> None:
         """Rules out reuse if a second response follows the complete one."""
@@ -126,9 +134,17 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Stores the status; a final response follows one with status 1xx."""
-        if not self._complete:
-            self._status = self._parser.get_status_code()
+        """Stores the status, and whether the response is to this request.
+
+        A searcher may answer an earlier request a second time. Without the
+        check that duplicate would be delivered to the caller of this request.
+        """
+        if self._complete:
+            return
+        self._status = self._parser.get_status_code()
+        # A final response follows one with status 1xx.
+        if self._status >= 200:
+            self._is_match = self._matches_request(self._headers)
 
     def on_body(self, body: bytes) -> None:
         """Stores a piece of the body."""
@@ -140,14 +156,10 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Completes the response, or skips one to another request.
-
-        A searcher may answer an earlier request a second time. Without the
-        check that duplicate would be delivered to the caller of this request.
-        """
+        """Completes the response, or skips one to another request."""
         if self._complete:
             return
-        if self._status >= 200 and self._matches_request(self._headers):
+        if self._is_match:
             self._complete = True
             # Valid only within this callback; later it is always false.
             self._keep_alive = self._parser.should_keep_alive()
@@ -155,9 +167,7 @@
         if self._status >= 200:
             self._must_close = True
             self._pool.skipped_count += 1
-        self._headers.clear()
-        self._body.clear()
-        self._size = 0
+        self._reset_response()
 
     def _finish(self) -> None:
         done, self._done = self._done, None
@@ -184,20 +194,17 @@
 
     def eof_received(self) -> bool:
         """Completes a response that ends with its connection."""
-        if self._done is not None and self._has_no_length():
-            done, self._done = self._done, None
+        if (
+            self._done is not None
+            and self._is_match
+            and self._ends_with_connection()
+        ):
             self._pool.ended_by_close_count += 1
-            answer = HttpResponse(
-                self._status,
-                tuple(self._headers),
-                b"".join(self._body),
-                closes=True,
-            )
-            self.kill()
-            done(answer)
+            self._finish()
         return False
 
-    def _has_no_length(self) -> bool:
+    def _ends_with_connection(self) -> bool:
+        """Whether a response without a length is being received."""
         if self._status < 200 or self._complete:
             return False
         length_headers = {b"content-length", b"transfer-encoding"}
--- a/tests/test_aio/test_client.py
+++ b/tests/test_aio/test_client.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from greengagemoor.aio.client import HttpFailure, HttpResponse
 from greengagemoor.aio.pool import Pool
 from tests.test_aio.helpers import ok, raw_server, read_head, reset, run
@@ -23,6 +25,20 @@
     return await fut
 
 
+async def ask_twice(script):
+    """Sends requests ``old`` and ``new`` on one connection.
+
+    Returns:
+        The end of the second, and the number of responses skipped.
+    """
+    async with raw_server(script) as address:
+        pool = Pool()
+        await ask(pool, address, echoes_id(b"old"))
+        end = await ask(pool, address, echoes_id(b"new"))
+        assert pool.opened_count == 1
+        return end, pool.skipped_count
+
+
 class TestResponseFraming:
     """Responses framed by length, chunks or the end of the connection."""
 
@@ -171,6 +187,61 @@
         assert run(main()) == [b"right", b"right"]
         assert seen == ["connection", "connection"]
 
+    @pytest.mark.parametrize("status", [b"200 OK", b"503 Busy"])
+    @pytest.mark.parametrize("ends", [True, False])
+    def test_duplicate_without_length(self, status, ends):
+        """Guards against an answer or a refusal of another request.
+
+        The duplicate of an earlier response has no length. If its connection
+        stays open, the failure must not wait for its end.
+        """
+        duplicate = b"HTTP/1.1 %s\r\nId: old\r\n\r\nold" % status
+
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(ok(b"old", b"Id: old"))
+            await read_head(reader)
+            writer.write(duplicate)
+            if not ends:
+                await reader.read()
+
+        end, skipped_count = run(ask_twice(script))
+        assert isinstance(end, HttpFailure)
+        assert end.sent
+        assert not end.stale
+        assert skipped_count == 1
+
+    def test_own_response_without_length(self):
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(ok(b"old", b"Id: old"))
+            await read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nId: new\r\n\r\nall of it")
+
+        end, skipped_count = run(ask_twice(script))
+        assert end.body == b"all of it"
+        assert end.closes
+        assert skipped_count == 0
+
+    @pytest.mark.parametrize(
+        "rest", [b"", b"HTTP/1.1 200 OK\r\nId: new\r\nStamp: new\r\n"]
+    )
+    def test_connection_ends_after_duplicate(self, rest):
+        """Guards against a response without a complete head.
+
+        The status of the duplicate was taken for that of the response.
+        """
+
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(ok(b"old", b"Id: old"))
+            await read_head(reader)
+            writer.write(ok(b"old", b"Id: old") + rest)
+
+        end, skipped_count = run(ask_twice(script))
+        assert isinstance(end, HttpFailure)
+        assert skipped_count == 1
+
     def test_bytes_on_an_idle_connection(self):
         async def script(reader, writer):
             await read_head(reader)
