Log line for requests that a process aborts when it ends

The log had only stop and stopped, which do not tell an end by the time limit from one in which the entry believed that it was idle; nor from a broken connection to the searcher.

--- a/greengagemoor/aio/server.py
+++ b/greengagemoor/aio/server.py
@@ -58,3 +58,7 @@
         """Closes the idle connections."""
         for conn in list(self.conns):
             conn.close_if_idle()
+
+    def count_busy(self) -> int:
+        """Returns the number of connections with an unanswered request."""
+        return sum(not conn.is_idle for conn in self.conns)
--- a/greengagemoor/log_fields.py
+++ b/greengagemoor/log_fields.py
@@ -10,6 +10,7 @@
     "start": "the process starts",
     "stop": "SIGTERM or SIGINT; serves until the callers' addresses expire",
     "stopped": "the process has shut down in order",
+    "requests_aborted": "the process ends before these requests are answered",
     "reload": "the settings file has changed; the new settings are in force",
     "settings_unreadable": "malformed settings file; the old settings stay",
     "listening": "an address accepts connections",
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -168,7 +168,10 @@
             self._callers.close_idle()
             await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
             if self._forward.is_idle and not self._callers.conns:
-                break
+                return
+        number = self._callers.count_busy()
+        if number:
+            log.event("requests_aborted", level="ERROR", number=number)
 
     # Callers.
 
