An entry that shuts down answers each request before it ends

Cause: requests were taken for 0.6 of the grace time and the process ended at 0.9 of it; what a request may take played no part, and what still ran was closed without an answer.

Now the forward decider is told when the last answers are due, 0.1 s before the grace time is over. No deadline is later, so each request is answered by then, whatever the searchers do. A request that may take longer and is not expected to be answered in three objectives is rejected at once, before anything is sent (not_run_leaving, 503).

Related paths: shards queried for another entry are reported by the same limit.

--- a/greengagemoor/forward/arrivals.py
+++ b/greengagemoor/forward/arrivals.py
@@ -11,6 +11,7 @@
     evidence,
     first_sends,
     selection,
+    shutdown,
     trial_table,
     trials,
 )
@@ -38,6 +39,10 @@
     """Rejects a request at once, holds it, or sends it."""
     request = _create_request(tables, msg)
     tables.requests[msg.token] = request
+    if shutdown.is_too_late(tables, request):
+        completion.finish(tables, request, Ending.NOT_RUN_LEAVING)
+        return
+    shutdown.limit(tables, request)
     if tables.now >= request.deadline:
         completion.finish(tables, request, Ending.NOT_RUN_DEADLINE)
         return
@@ -153,7 +158,8 @@
         max_wait = tables.policy.max_wait_share * request.route.objective_s
         at = tables.now + max_wait
         tables.set_timer(at, partial(_reject_unsent, tables, request))
-    tables.set_timer(request.deadline, partial(_end_at_limit, tables, request))
+    end = partial(completion.end_at_limit, tables, request)
+    tables.set_timer(request.deadline, end)
 
 
 def _reject_unsent(tables: Tables, request: Request) -> None:
@@ -162,21 +168,4 @@
     The caller then has time left to retry.
     """
     if not request.done and not request.sends:
-        completion.finish(tables, request, _unsent_ending(request))
-
-
-def _end_at_limit(tables: Tables, request: Request) -> None:
-    if request.done:
-        return
-    is_gather = request.route.gather is not None
-    if is_gather and completion.is_coverage_reached(request, request.answered):
-        completion.finish(tables, request, Ending.PARTIAL)
-    elif request.sends:
-        completion.finish(tables, request, Ending.NO_ANSWER)
-    else:
-        completion.finish(tables, request, _unsent_ending(request))
-
-
-def _unsent_ending(request: Request) -> Ending:
-    held = request.is_held
-    return Ending.NOT_RUN_SUSPECT if held else Ending.NOT_RUN_BUSY
+        completion.finish(tables, request, completion.unsent_ending(request))
--- a/greengagemoor/forward/completion.py
+++ b/greengagemoor/forward/completion.py
@@ -36,11 +36,12 @@
     Ending.NOT_RUN_DEADLINE: 0.0,
     Ending.NOT_RUN_SUSPECT: 0.3,
     Ending.NOT_RUN_QUARANTINED: 60.0,
+    Ending.NOT_RUN_LEAVING: 0.01,
 }
 """Seconds after which a caller should retry, for endings with a fixed time; the
 admission controller chooses that of ``NOT_RUN_OVERLOAD``. A searcher restarts
 in about the time of its longest pauses, and a queue drains in the time of a few
-requests."""
+requests. Another entry can serve what one that is shutting down rejects."""
 
 
 def check(tables: Tables, request: Request) -> None:
@@ -116,6 +117,28 @@
         finish(tables, request, Ending.PARTIAL)
 
 
+def end_at_limit(tables: Tables, request: Request) -> None:
+    """Ends a request whose time is up, with the answers so far."""
+    if request.done:
+        return
+    if request.origin is not None:
+        finish(tables, request, Ending.NO_ANSWER)
+    elif request.route.gather is not None and is_coverage_reached(
+        request, request.answered
+    ):
+        finish(tables, request, Ending.PARTIAL)
+    elif request.sends:
+        finish(tables, request, Ending.NO_ANSWER)
+    else:
+        finish(tables, request, unsent_ending(request))
+
+
+def unsent_ending(request: Request) -> Ending:
+    """Returns the ending of a request that was never sent."""
+    held = request.is_held
+    return Ending.NOT_RUN_SUSPECT if held else Ending.NOT_RUN_BUSY
+
+
 def finish(tables: Tables, request: Request, ending: Ending) -> None:
     """Sends the final answer.
 
--- a/greengagemoor/forward/decider.py
+++ b/greengagemoor/forward/decider.py
@@ -19,6 +19,7 @@
     evidence,
     part_receiver,
     searchers,
+    shutdown,
     trials,
 )
 from greengagemoor.forward.messages import (
@@ -29,6 +30,7 @@
     CloseIdle,
     Ending,
     ProbeEnded,
+    ShutdownStarted,
     TrialVerdict,
 )
 from greengagemoor.forward.part_messages import (
@@ -80,7 +82,8 @@
             msgs: ``Arrived``, ``CallerGone``, ``AttemptEnded``,
                 ``AnswerWritten``, ``SearcherUpdated``, ``SlowSearchers``,
                 ``EvacuationsUpdated``, ``ProbeEnded``, ``SuspectsReceived``,
-                ``TrialVerdict``, ``FromPeer``, ``PeerUp``, ``PeerDown``.
+                ``TrialVerdict``, ``FromPeer``, ``PeerUp``, ``PeerDown``,
+                ``ShutdownStarted``.
 
         Returns:
             ``StartAttempt``, ``CancelAttempt``, ``CloseIdle``, ``Respond``,
@@ -198,6 +201,8 @@
         elif isinstance(msg, PeerDown):
             delegation.remove_helper(self.tables, msg.name)
             part_receiver.end_parts_of(self.tables, msg.name)
+        elif isinstance(msg, ShutdownStarted):
+            shutdown.start(self.tables, msg)
 
     def _handle_from_peer(self, name: str, msg: object) -> None:
         if isinstance(msg, AskPart):
--- a/greengagemoor/forward/messages.py
+++ b/greengagemoor/forward/messages.py
@@ -32,6 +32,7 @@
     NOT_RUN_QUOTA = "not_run_quota"
     NOT_RUN_NO_QUOTA = "not_run_no_quota"
     NOT_RUN_OVERLOAD = "not_run_overload"
+    NOT_RUN_LEAVING = "not_run_leaving"
     CALLER_GONE = "caller_gone"
 
 
@@ -46,6 +47,7 @@
         Ending.NOT_RUN_QUOTA,
         Ending.NOT_RUN_NO_QUOTA,
         Ending.NOT_RUN_OVERLOAD,
+        Ending.NOT_RUN_LEAVING,
     }
 )
 
@@ -216,6 +218,17 @@
     refused: bool
 
 
+@values.frozen
+class ShutdownStarted:
+    """The entry is shutting down.
+
+    Attributes:
+        ends_at: when the last answers are due.
+    """
+
+    ends_at: float
+
+
 @values.frozen
 class TrialVerdict:
     """The control group's verdict on a claim to a trial."""
--- a/greengagemoor/forward/part_receiver.py
+++ b/greengagemoor/forward/part_receiver.py
@@ -71,7 +71,8 @@
     if not request.done:
         check = partial(completion.check, tables, request)
         tables.set_timer(request.soft_deadline, check)
-        tables.set_timer(request.deadline, partial(_expire, tables, request))
+        end = partial(completion.end_at_limit, tables, request)
+        tables.set_timer(request.deadline, end)
 
 
 def _may_accept(tables: Tables, msg: AskPart) -> bool:
@@ -111,11 +112,6 @@
     return request
 
 
-def _expire(tables: Tables, request: Request) -> None:
-    if not request.done:
-        completion.finish(tables, request, Ending.NO_ANSWER)
-
-
 def allow_second_sends(tables: Tables, peer: str, msg: PartConfirmed) -> None:
     """Allows retries and hedges for the shards of a part."""
     request = tables.origins.get((peer, msg.part_id))
--- a/greengagemoor/forward/tables.py
+++ b/greengagemoor/forward/tables.py
@@ -228,6 +228,7 @@
             ``now`` while messages are processed.
         possible_crashes: searchers that broke off a send and may have ended.
         recent_crashes: searchers that did end, latest last.
+        ends_at: when the last answers are due, if this entry is shutting down.
         place: place of this entry among all entries; None if not known.
         positions: by service, the ids of searchers that keep a position in
             the assignment, and until when.
@@ -258,6 +259,7 @@
     now: float = 0.0
     due_at: float = 0.0
     started_at: float = float("inf")
+    ends_at: float = float("inf")
     out: list = attrs.field(factory=list)
     entries: int = 1
     place: EntryPlace | None = None
--- a/greengagemoor/log_analysis/explain.py
+++ b/greengagemoor/log_analysis/explain.py
@@ -17,7 +17,7 @@
     "partial": "the time for a whole answer was over, or a shard was given up",
     "searcher_failed": "the searchers that were asked reported a failure",
     "below_coverage": "too few shards could still answer",
-    "no_answer": "its deadline passed before an answer arrived",
+    "no_answer": "no answer before its deadline, or before the entry shut down",
     "broken": "a connection broke after the request had been sent",
     "not_run_no_searcher": "no searcher could be asked",
     "not_run_busy": "no searcher had a free connection for it in time",
@@ -27,6 +27,7 @@
     "not_run_quota": "its account was over its quota",
     "not_run_no_quota": "no control instance told the quota of its account",
     "not_run_overload": "capacity was short, or too few shards could answer",
+    "not_run_leaving": "the entry was shutting down; another one serves it",
     "not_run_deadline": "its deadline had passed when it arrived",
 }
 
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -30,6 +30,7 @@
     ProbeEnded,
     ProbeSearcher,
     Respond,
+    ShutdownStarted,
     StartAttempt,
 )
 from greengagemoor.forward.policy import Policy
@@ -58,6 +59,9 @@
 SWEEP_INTERVAL_S = 1.0
 KEEP_SERVING_SHARE = 0.6
 """Share of the grace time in which a leaving entry still accepts requests."""
+ANSWER_MARGIN_S = 0.1
+"""Time between the last answers and the end of the grace time, at most a tenth
+of it. The answers must reach their callers before the process is killed."""
 IDLE_CHECK_INTERVAL_S = 0.02
 
 
@@ -154,15 +158,20 @@
 
         Withdraws its address from callers at once, serves on while they may
         still use it, then accepts no connections and finishes open requests.
+        Those that are still open shortly before the end of the grace time are
+        answered then.
         """
         loop = asyncio.get_running_loop()
         started = loop.time()
+        grace_s = self.cfg.grace_s
+        answers_s = grace_s - min(ANSWER_MARGIN_S, grace_s / 10)
         self._view.leave()
         self._limits.closing = True
+        self._ticker.put(ShutdownStarted(self.clock.now() + answers_s))
         self._ticker.tick()
-        await asyncio.sleep(KEEP_SERVING_SHARE * self.cfg.grace_s)
+        await asyncio.sleep(KEEP_SERVING_SHARE * grace_s)
         self._callers.stop_accepting()
-        while loop.time() < started + 0.9 * self.cfg.grace_s:
+        while loop.time() < started + grace_s - IDLE_CHECK_INTERVAL_S:
             # A connection accepted just now appears a turn of the loop later,
             # with its request.
             self._callers.close_idle()
--- a/tests/test_serving/test_entry.py
+++ b/tests/test_serving/test_entry.py
@@ -4,15 +4,25 @@
 
 import asyncio
 
+from greengagemoor.aio import sockets
 from greengagemoor.aio.connection import HttpConnection
+from greengagemoor.feed.messages import (
+    SearcherRow,
+    SearcherState,
+    SearcherUpdated,
+)
 from greengagemoor.platform.dialect import PlatformDialect
+from greengagemoor.routing.routes import RouteTable, ServiceRules
 from greengagemoor.serving import entry as entry_module
 from greengagemoor.serving.entry import EntryApp
 from greengagemoor.serving.settings import ServingSettings
+from tests.test_aio.helpers import raw_server, read_head, run
+from tests.test_forward.helpers import single
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 ANSWER_S = 0.05
 READ_S = 0.001
+READ_TIMEOUT_S = 2.0
 
 
 class Transport(asyncio.Transport):
@@ -44,6 +54,70 @@
         pass
 
 
+def make_entry(**settings):
+    """Returns an entry that does not listen."""
+    address = "127.0.0.1:1"
+    cfg = ServingSettings(
+        "e1",
+        "dc1",
+        address,
+        (),
+        caller_address=address,
+        health_address=address,
+        **settings,
+    )
+    return EntryApp(cfg, PlatformDialect())
+
+
+def stop_while_a_searcher_works():
+    """Stops an entry while a searcher does not answer its request.
+
+    Returns:
+        The bytes sent to the caller before the entry stopped.
+    """
+
+    async def main():
+        asked = asyncio.Event()
+
+        async def never_answer(reader, writer):
+            await read_head(reader)
+            asked.set()
+            await reader.read()
+
+        app = make_entry(grace_s=0.5)
+        app._view._confirmed_at = app.clock.now()
+        app._view.number = 1
+        route = single(prefix="/", time_limit_s=20.0)
+        rules = {"s0": ServiceRules("s0", 40)}
+        app._route_table = RouteTable(1, (route,), rules, None)
+        app._decider.set_routes(app._route_table)
+        listener = sockets.listen("127.0.0.1:0")
+        await app._callers.start(listener)
+        async with raw_server(never_answer) as searcher_address:
+            row = SearcherRow(
+                "i1",
+                "s0",
+                searcher_address,
+                "dc1",
+                SearcherState.READY,
+                1,
+                5,
+                0.0,
+            )
+            app._ticker.put(SearcherUpdated(row))
+            reader, writer = await asyncio.open_connection(
+                *listener.getsockname()
+            )
+            writer.write(REQUEST)
+            await asked.wait()
+            await app.stop()
+            received = await asyncio.wait_for(reader.read(), READ_TIMEOUT_S)
+            writer.close()
+            return received
+
+    return run(main())
+
+
 def stop_while_a_caller_connects(monkeypatch):
     """Stops an entry while a last connection is being accepted.
 
@@ -54,16 +128,7 @@
 
     async def main():
         loop = asyncio.get_running_loop()
-        address = "127.0.0.1:1"
-        cfg = ServingSettings(
-            "e1",
-            "dc1",
-            address,
-            (),
-            caller_address=address,
-            health_address=address,
-        )
-        app = EntryApp(cfg, PlatformDialect())
+        app = make_entry()
         callers = app._callers
         conn = HttpConnection(SlowHandler(), app._limits, callers.conns)
         transport = Transport(conn)
@@ -96,3 +161,9 @@
         written = stop_while_a_caller_connects(monkeypatch)
         assert written.startswith(b"HTTP/1.1 200")
         assert b"Connection: close" in written
+
+    def test_searcher_still_works_at_the_end(self):
+        """Guards against a connection that ends without an answer."""
+        written = stop_while_a_searcher_works()
+        assert written.startswith(b"HTTP/1.1 504")
+        assert b"Connection: close" in written
