A control instance that stops answers its open calls

An operator whose document was being committed, or a searcher that waited for the acknowledgement of its drain, read the end of its connection instead of the answer and had to call another instance.

It now accepts no connections, closes them after their answers and waits for open calls. The loop is that of an entry, which moves to aio/server.py.

Test before: test_call_is_answered_before_the_instance_ends failed (no bytes before the end of the connection). After: passed. The tests of this module dial loopback addresses only now; they named addresses of a private network.

--- a/greengagemoor/aio/server.py
+++ b/greengagemoor/aio/server.py
@@ -11,9 +11,12 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable, Iterable
 
     from greengagemoor.aio.requests import Handler, Limits
 
+IDLE_CHECK_INTERVAL_S = 0.02
+
 
 class HttpServer:
     """Listens on one address; makes an object per connection."""
@@ -62,3 +65,27 @@
     def count_busy(self) -> int:
         """Returns the number of connections with an unanswered request."""
         return sum(not conn.is_idle for conn in self.conns)
+
+
+async def drain(
+    servers: Iterable[HttpServer],
+    timeout_s: float,
+    is_idle: Callable[[], bool] = lambda: True,
+) -> None:
+    """Closes connections as they become idle.
+
+    Args:
+        servers: servers that no longer accept connections.
+        timeout_s: returns after this time even if connections are open.
+        is_idle: otherwise returns once there are none and this is true.
+    """
+    loop = asyncio.get_running_loop()
+    until = loop.time() + timeout_s
+    while loop.time() < until:
+        # A connection accepted just now appears a turn of the loop later, with
+        # its request.
+        for server in servers:
+            server.close_idle()
+        await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
+        if is_idle() and not any(server.conns for server in servers):
+            return
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -11,7 +11,7 @@
 from greengagemoor import log
 from greengagemoor.aio.links import Links
 from greengagemoor.aio.requests import Limits
-from greengagemoor.aio.server import HttpServer
+from greengagemoor.aio.server import HttpServer, drain
 from greengagemoor.control import messages as control
 from greengagemoor.control.client import ControlClient, Done
 from greengagemoor.control.decider import ControlDecider
@@ -28,7 +28,11 @@
 from greengagemoor.serving.hub_storage import HubStorage
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.open_calls import BadCalls, OpenCalls
-from greengagemoor.serving.operators import EvacuationPage, OperatorCalls
+from greengagemoor.serving.operators import (
+    OPERATION_TIMEOUT_S,
+    EvacuationPage,
+    OperatorCalls,
+)
 from greengagemoor.serving.quarantine import QuarantinePage
 from greengagemoor.serving.quota_dealing import QuotaDealing
 from greengagemoor.serving.ticker import Ticker
@@ -44,6 +48,8 @@
 HEARTBEAT_S = 0.15
 ELECTION_S = 0.6
 """Four heartbeats; a failed leader is replaced within two seconds."""
+CALLS_S = OPERATION_TIMEOUT_S + 0.1
+"""Time in which all open calls are answered, operations being the slowest."""
 JOIN_S = 0.25
 """Interval of the join requests of a control instance outside the group."""
 
@@ -129,11 +135,16 @@
         self._ticker.put(SeedsChanged(cfg.other_seeds))
 
     async def stop(self) -> None:
-        """Stops accepting; returns once all queued disk writes are synced."""
+        """Stops without aborting a call.
+
+        Accepts no connections and finishes open calls, each of which has a
+        time limit. Returns once all queued disk writes are synced.
+        """
         self._store_task.cancel()
         for server in self._servers:
+            server.limits.closing = True
             server.stop_accepting()
-            server.close_idle()
+        await drain(self._servers, min(CALLS_S, self.cfg.grace_s / 2))
         await self._durable.close()
 
     # Incoming calls.
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -13,7 +13,11 @@
 from greengagemoor.aio.links import Links
 from greengagemoor.aio.pool import PendingRequest, Pool
 from greengagemoor.aio.requests import Limits
-from greengagemoor.aio.server import HttpServer
+from greengagemoor.aio.server import (
+    IDLE_CHECK_INTERVAL_S,
+    HttpServer,
+    drain,
+)
 from greengagemoor.control.messages import Send
 from greengagemoor.errors import DocumentError
 from greengagemoor.feed import messages as feed
@@ -62,7 +66,6 @@
 ANSWER_MARGIN_S = 0.1
 """Time between the last answers and the end of the grace time, at most a tenth
 of it. The answers must reach their callers before the process is killed."""
-IDLE_CHECK_INTERVAL_S = 0.02
 
 
 class EntryApp:
@@ -161,8 +164,6 @@
         Those that are still open shortly before the end of the grace time are
         answered then.
         """
-        loop = asyncio.get_running_loop()
-        started = loop.time()
         grace_s = self.cfg.grace_s
         answers_s = grace_s - min(ANSWER_MARGIN_S, grace_s / 10)
         self._view.leave()
@@ -171,13 +172,11 @@
         self._ticker.tick()
         await asyncio.sleep(KEEP_SERVING_SHARE * grace_s)
         self._callers.stop_accepting()
-        while loop.time() < started + grace_s - IDLE_CHECK_INTERVAL_S:
-            # A connection accepted just now appears a turn of the loop later,
-            # with its request.
-            self._callers.close_idle()
-            await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
-            if self._forward.is_idle and not self._callers.conns:
-                return
+        await drain(
+            [self._callers],
+            (1 - KEEP_SERVING_SHARE) * grace_s - IDLE_CHECK_INTERVAL_S,
+            lambda: self._forward.is_idle,
+        )
         number = self._callers.count_busy()
         if number:
             log.event("requests_aborted", level="ERROR", number=number)
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -5,13 +5,14 @@
 import asyncio
 import json
 import random
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from greengagemoor.aio import sockets
 from greengagemoor.aio.requests import HttpRequest
 from greengagemoor.control.commands import Member
 from greengagemoor.control.decider import ControlDecider
@@ -21,9 +22,11 @@
 from greengagemoor.platform.dialect import PlatformDialect
 from greengagemoor.serving.control import ControlApp
 from greengagemoor.serving.settings import ServingSettings
+from tests.test_aio.helpers import run
 from tests.test_platform.test_malformed_input import BEAT
 
 LOOP_TURNS = 3
+ACKNOWLEDGED_S = 0.05
 
 
 @attrs.define
@@ -38,9 +41,9 @@
 
 def member_without_group() -> ControlDecider:
     """Returns a member that belongs to no group."""
-    seeds = {"10.0.0.3": "10.0.0.3:7740"}
+    seeds = {"127.0.0.3": "127.0.0.3:7740"}
     rng = random.Random(1)
-    return ControlDecider("10.0.0.2#new", "10.0.0.2:7740", seeds, rng)
+    return ControlDecider("127.0.0.2#new", "127.0.0.2:7740", seeds, rng)
 
 
 def play(bodies, decider=None, *msgs):
@@ -53,7 +56,7 @@
     """
 
     async def run():
-        cfg = ServingSettings("10.0.0.2", "dc1", "10.0.0.2:7740", ())
+        cfg = ServingSettings("127.0.0.2", "dc1", "127.0.0.2:7740", ())
         app = ControlApp(cfg, PlatformDialect())
         app._decider = decider
         app._ticker.tick()
@@ -110,13 +113,61 @@
         assert app._ticker.failures == 0
 
 
+class TestStop:
+    """A control instance that stops answers the calls that it has read."""
+
+    def test_call_is_answered_before_the_instance_ends(self):
+        """Guards against a connection that ends without an answer.
+
+        The acknowledgement of an announcement arrives from an entry while the
+        control instance stops.
+        """
+        received = run(stop_during_an_announcement())
+        assert received.startswith(b"HTTP/1.1 200")
+        assert b"Connection: close" in received
+
+
+async def stop_during_an_announcement():
+    """Returns the bytes sent to the caller before the instance has stopped."""
+    cfg = ServingSettings(
+        "127.0.0.2",
+        "dc1",
+        "127.0.0.2:7740",
+        (),
+        control_address="127.0.0.1:1",
+    )
+    app = ControlApp(cfg, PlatformDialect())
+    app._decider = member_without_group()
+    app._store_task = asyncio.create_task(asyncio.sleep(0))
+    app._durable = Mock(close=AsyncMock())
+    listener = sockets.listen("127.0.0.1:0")
+    (server,) = app._servers
+    await server.start(listener)
+    subscribe = Subscribe("e1", "127.0.1.1:80", "dc1", ready=True)
+    app._ticker.put(LinkUp("e1"))
+    app._ticker.put(Received("e1", subscribe))
+    reader, writer = await asyncio.open_connection(*listener.getsockname())
+    body = json.dumps(BEAT).encode()
+    head = b"POST /v1/instances/i1/heartbeat HTTP/1.1\r\nContent-Length: %d"
+    writer.write(head % len(body) + b"\r\n\r\n" + body)
+    while not server.count_busy():
+        await asyncio.sleep(0)
+    loop = asyncio.get_running_loop()
+    acknowledgement = Received("e1", RowsTaken(10))
+    loop.call_later(ACKNOWLEDGED_S, app._ticker.put, acknowledgement)
+    await app.stop()
+    received = await reader.read() if not server.conns else b""
+    writer.close()
+    return received
+
+
 class TestDirectory:
     """Callers look up entries."""
 
     def test_lists_entries_of_the_callers_data_centre_first(self):
         """Guards against a look-up that ignores the caller's data centre."""
         entries = [
-            Subscribe(f"e{i}", f"10.0.1.{i}:80", f"dc{i % 3}", ready=True)
+            Subscribe(f"e{i}", f"127.0.1.{i}:80", f"dc{i % 3}", ready=True)
             for i in range(90)
         ]
         msgs = [Received(entry.name, entry) for entry in entries]
@@ -151,7 +202,7 @@
 
     def test_acknowledges_when_an_entry_is_linked(self):
         """At the first start entries are linked before the group exists."""
-        subscribe = Subscribe("e1", "10.0.1.1:80", "dc1", ready=True)
+        subscribe = Subscribe("e1", "127.0.1.1:80", "dc1", ready=True)
         entry = Received("e1", subscribe)
         taken = Received("e1", RowsTaken(10))
         _, statuses = play(
@@ -161,8 +212,12 @@
 
     def test_forwards_to_members_named_in_a_join_reply(self):
         """Guards against forwarding to the seeds only, whoever leads."""
-        leader = Member("10.0.0.9#a", "10.0.0.9", "10.0.0.9:7740", voter=True)
-        reply = JoinReply("group", "10.0.0.3#a", False, "10.0.0.9#a", (leader,))
-        app, _ = play([], member_without_group(), Received("10.0.0.3", reply))
-        assert "10.0.0.9" in app._client.targets
-        assert "10.0.0.9:7740" in app._links.dial_tasks_by_address
+        leader = Member(
+            "127.0.0.9#a", "127.0.0.9", "127.0.0.9:7740", voter=True
+        )
+        reply = JoinReply(
+            "group", "127.0.0.3#a", False, "127.0.0.9#a", (leader,)
+        )
+        app, _ = play([], member_without_group(), Received("127.0.0.3", reply))
+        assert "127.0.0.9" in app._client.targets
+        assert "127.0.0.9:7740" in app._links.dial_tasks_by_address
