A refusal of a backend server may name its attempt

The answer to an attempt names it and is compared; a refusal had no such field. One that arrives late, on a connection that is in use again, was taken for the refusal of the next attempt, and an attempt that may run was reported as not run.

A refusal may have attempt_id now; one that names another attempt ends this one as a mismatch, which promises nothing and closes the connection. A refusal without it is taken as before, as backend servers in use send none.

Test before: a refusal that names its own attempt was malformed and taken for a mismatch (test_refusal_of_this_attempt[named1] failed, 2 passed). After: 3 passed.

--- a/examples/searcher.py
+++ b/examples/searcher.py
@@ -177,7 +177,12 @@
         behaviour = self.behaviour
         reason = self._rejection_reason(body)
         if reason:
-            reply = {"ran": False, "reason": reason, "retry_after_s": 0.05}
+            reply = {
+                "attempt_id": body["attempt_id"],
+                "ran": False,
+                "reason": reason,
+                "retry_after_s": 0.05,
+            }
             return "503 Service Unavailable", reply
         self.runs[body["request_id"]] += 1
         if self._sleep(behaviour.delay_s, body["attempt_id"]):
--- a/greengagemoor/shell/backend_api.py
+++ b/greengagemoor/shell/backend_api.py
@@ -65,12 +65,14 @@
     Attributes:
         ran: whether any part of the attempt may have run.
         reason: shed, draining, version_gone, cancelled, or free text.
+        attempt_id: the attempt, "" if the searcher does not name it.
     """
 
     ran: bool
     reason: str = ""
     retry_after_s: float = 0.0
     state: ServerState | None = None
+    attempt_id: str = ""
 
 
 def global_attempt_id(process: str, attempt_id: int) -> str:
@@ -101,7 +103,7 @@
     try:
         if status == OK_STATUS:
             return _read_results(msg, process, data)
-        return _read_refusal(msg, status, data)
+        return _read_refusal(msg, process, status, data)
     except InvalidInputError:
         return AttemptFailed(msg.attempt_id, Failure.MISMATCH)
 
@@ -124,8 +126,13 @@
     )
 
 
-def _read_refusal(msg: StartAttempt, status: int, data: bytes) -> AttemptFailed:
+def _read_refusal(
+    msg: StartAttempt, process: str, status: int, data: bytes
+) -> AttemptFailed:
     body = json_conversion.decode_json(data, RefusalBody)
+    own_id = global_attempt_id(process, msg.attempt_id)
+    if body.attempt_id not in ("", own_id):
+        return AttemptFailed(msg.attempt_id, Failure.MISMATCH)
     return AttemptFailed(
         attempt_id=msg.attempt_id,
         failure=_failure_of(status, body),
