A server that shuts down answers pipelined requests that it has read

It now closes after the reply to the last one that is queued.

Test before: test_closing_server_answers_pipelined_requests failed (closed after the first reply), 16 passed. After: 17 passed.

--- a/greengagemoor/aio/connection.py
+++ b/greengagemoor/aio/connection.py
@@ -182,7 +182,9 @@
             return
         self._current = None
         keep = self._keep_alive.popleft() and not close
-        keep = keep and not self._limits.closing and not self._input_rejected
+        keep = keep and not self._input_rejected
+        # A server that shuts down still answers the requests that it has read.
+        keep = keep and (bool(self._queue) or not self._limits.closing)
         self._write(status, headers, body, keep=keep, head=req.method == "HEAD")
         self._idle_since = self._loop.time()
         if not keep:
--- a/tests/test_aio/test_server.py
+++ b/tests/test_aio/test_server.py
@@ -209,6 +209,25 @@
         assert b"Connection: close" in answer
         assert answer.endswith(b"/1")
 
+    def test_closing_server_answers_pipelined_requests(self):
+        """Guards against closing a connection on which requests are queued."""
+
+        async def main():
+            handler = Recorder(answer=False)
+            async with running_server(handler) as (server, reader, writer):
+                writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" * 2)
+                await handler.changed.wait()
+                server.limits.closing = True
+                for number, body in enumerate((b"one", b"two")):
+                    req = handler.reqs[number]
+                    req.conn.reply(req, 200, (), body)
+                return await reader.read()
+
+        first, second = run(main()).split(b"one")
+        assert b"Connection: keep-alive" in first
+        assert b"Connection: close" in second
+        assert second.endswith(b"two")
+
     def test_idle_connections_close_and_busy_ones_stay(self):
         async def main():
             handler = Recorder(answer=False)
