Shutdown: reject by the response times of the route

An entry that shuts down rejected a request for which less than three times its objective was left.

The quantile rejects where a route's requests usually take longer than the time left.

Mutants of the rule run again: killed.

--- a/greengagemoor/forward/shutdown.py
+++ b/greengagemoor/forward/shutdown.py
@@ -11,9 +11,10 @@
     from greengagemoor.forward.messages import ShutdownStarted
     from greengagemoor.forward.tables import Request, Tables
 
-EXPECTED_OBJECTIVES = 3.0
-"""Multiple of its latency objective within which a request is answered as a
-rule, also by a slow searcher that has just started."""
+FIT_QUANTILE = 0.95
+"""Quantile of a route's response times that must fit into the time left. A
+caller that is rejected loses a round trip; one that gets no answer loses more,
+and does not know whether its request has run."""
 
 
 def start(tables: Tables, msg: ShutdownStarted) -> None:
@@ -39,12 +40,11 @@
 
 
 def is_too_late(tables: Tables, request: Request) -> bool:
-    """Whether a new request might still be running when the process ends.
+    """Whether a new request is not expected to end before the process does.
 
-    Another entry can serve it. Here its caller might learn only that the
-    outcome is unknown, after the whole time that is left.
+    Another entry can serve it.
     """
     if request.deadline <= tables.ends_at:
         return False
-    expected_s = EXPECTED_OBJECTIVES * request.route.objective_s
-    return tables.now + expected_s > tables.ends_at
+    needed_s = tables.times_of(request.route).quantile(FIT_QUANTILE)
+    return tables.now + needed_s > tables.ends_at
