Soak: no second loss of a disk before the first one is reported

Traced by the logs of its control instances: 127.13.1.2 was killed for good (last line 530.88, its successor started at 531.55, voted from 531.72), and 127.13.1.3 lost its disk 0.7 s after that kill (came back empty at 532.05).

The fault asks the leader whether a loss is borne. A leader counts a voter until it has been silent for an election time, so the answer was that of before the kill. Ruled out: the shutdown of a control instance, as no instance got SIGTERM; a stuck election, as the two left asked each other and lacked one vote.

Faults that lose a disk now take turns and ask twice, a second apart. The checks of the soak are unchanged.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,9 @@
 """Bounds each wait for a condition, at the start and after the faults."""
 RECOVERY_S = 8.0
 """Time without new faults before the recovery is checked."""
+LOSS_REPORTED_S = 1.0
+"""Time in which a leader reports a lost voter, which it counts as one until it
+has been silent for an election time."""
 MIN_SERVED_SHARE = 0.9
 """Share of requests that are answered in full after the recovery."""
 
@@ -37,6 +40,7 @@
     Attributes:
         crash_faults: number of searchers that faults have crashed so far.
         evacuating: data centres under evacuation by a fault.
+        disk_loss: held while a fault decides on the loss of a disk.
         injected: names of the faults injected so far.
     """
 
@@ -53,6 +57,7 @@
         self.injected: list[str] = []
         self.crash_faults = 0
         self.evacuating: set[str] = set()
+        self.disk_loss = asyncio.Lock()
         self._last_port = 8080
 
     async def execute(self) -> list[str]:
@@ -229,19 +234,25 @@
         return await self.operator.read() is not None
 
     async def tolerates_disk_loss(self) -> bool:
+        """Whether the group tolerates a lost disk, also after recent losses."""
+        before = await self._reports_tolerance()
+        await asyncio.sleep(LOSS_REPORTED_S)
+        return before and await self._reports_tolerance()
+
+    async def _reports_tolerance(self) -> bool:
         """Whether a leader reports that the group tolerates a lost disk."""
-        for machine in self.cluster.of_role("control"):
-            gauges = await self.cluster.gauges(machine)
-            if gauges.get("losses_borne", 0) >= 1:
-                return True
-        return False
+        metrics = await self._control_gauges()
+        return any(values.get("losses_borne", 0) >= 1 for values in metrics)
+
+    async def _control_gauges(self) -> list[dict[str, float]]:
+        controls = self.cluster.of_role("control")
+        return [await self.cluster.gauges(machine) for machine in controls]
 
     async def _all_controls_vote(self) -> bool:
         """Whether all control instances that run have a vote."""
-        controls = self.cluster.of_role("control")
-        metrics = [await self.cluster.gauges(machine) for machine in controls]
+        metrics = await self._control_gauges()
         return all(
-            values.get("voters", 0) >= len(controls) for values in metrics
+            values.get("voters", 0) >= len(metrics) for values in metrics
         )
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,16 +25,18 @@
 
 async def lose_disk(run: Run) -> None:
     """Restarts a control instance with an empty disk, if the group allows."""
-    if await run.tolerates_disk_loss():
-        run.cluster.kill(
-            run.rng.choice(run.cluster.of_role("control")), wipe=True
-        )
+    async with run.disk_loss:
+        if await run.tolerates_disk_loss():
+            run.cluster.kill(
+                run.rng.choice(run.cluster.of_role("control")), wipe=True
+            )
 
 
 async def replace_control(run: Run) -> None:
     """Replaces a control machine by an empty one, if the group allows."""
-    if await run.tolerates_disk_loss():
-        run.cluster.replace(run.rng.choice(run.cluster.of_role("control")))
+    async with run.disk_loss:
+        if await run.tolerates_disk_loss():
+            run.cluster.replace(run.rng.choice(run.cluster.of_role("control")))
 
 
 async def change_seeds(run: Run) -> None:
