--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,9 +27,6 @@
 """Bounds each wait for a condition, at the start and after the faults."""
 RECOVERY_S = 8.0
 """Time without new faults before the recovery is checked."""
-LOSS_REPORTED_S = 1.0
-"""Time in which a leader reports a lost voter, which it counts as one until it
-has been silent for an election time."""
 MIN_SERVED_SHARE = 0.9
 """Share of requests that are answered in full after the recovery."""
 
@@ -233,24 +230,14 @@
     async def _can_read(self) -> bool:
         return await self.operator.read() is not None
 
-    async def tolerates_disk_loss(self) -> bool:
-        """Whether the group tolerates a lost disk, also after recent losses."""
-        before = await self._reports_tolerance()
-        await asyncio.sleep(LOSS_REPORTED_S)
-        return before and await self._reports_tolerance()
-
-    async def _reports_tolerance(self) -> bool:
-        """Whether a leader reports that the group tolerates a lost disk."""
-        metrics = await self._control_gauges()
-        return any(values.get("losses_borne", 0) >= 1 for values in metrics)
-
-    async def _control_gauges(self) -> list[dict[str, float]]:
+    async def control_gauges(self) -> list[dict[str, float]]:
+        """Returns the gauges of each control instance."""
         controls = self.cluster.of_role("control")
         return [await self.cluster.gauges(machine) for machine in controls]
 
     async def _all_controls_vote(self) -> bool:
         """Whether all control instances that run have a vote."""
-        metrics = await self._control_gauges()
+        metrics = await self.control_gauges()
         return all(
             values.get("voters", 0) >= len(metrics) for values in metrics
         )
