--- a/bench/mutants_of_connections.py
+++ b/bench/mutants_of_connections.py
@@ -24,7 +24,7 @@
         CLIENT,
     ),
     Mutant(
-        "responses: a hopeless connection fails at once",
+        "responses: no wait where none can follow",
         "aio/client.py",
         'self._fail("response without a length to another request")',
         "pass",
@@ -77,7 +77,7 @@
     Mutant(
         "shutdown: control instances answer open calls",
         "serving/control.py",
-        "await drain(self._servers, min(CALLS_S, self.cfg.grace_s / 2))",
+        "await drain(self._servers, timeout_s)",
         "pass",
         ("tests/test_serving/test_control.py::TestStop",),
     ),
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -48,7 +48,7 @@
 HEARTBEAT_S = 0.15
 ELECTION_S = 0.6
 """Four heartbeats; a failed leader is replaced within two seconds."""
-CALLS_S = OPERATION_TIMEOUT_S + 0.1
+OPEN_CALLS_TIMEOUT_S = OPERATION_TIMEOUT_S + 0.1
 """Time in which all open calls are answered, operations being the slowest."""
 JOIN_S = 0.25
 """Interval of the join requests of a control instance outside the group."""
@@ -144,7 +144,8 @@
         for server in self._servers:
             server.limits.closing = True
             server.stop_accepting()
-        await drain(self._servers, min(CALLS_S, self.cfg.grace_s / 2))
+        timeout_s = min(OPEN_CALLS_TIMEOUT_S, self.cfg.grace_s / 2)
+        await drain(self._servers, timeout_s)
         await self._durable.close()
 
     # Incoming calls.
--- a/tests/test_aio/test_client.py
+++ b/tests/test_aio/test_client.py
@@ -190,11 +190,7 @@
     @pytest.mark.parametrize("status", [b"200 OK", b"503 Busy"])
     @pytest.mark.parametrize("ends", [True, False])
     def test_duplicate_without_length(self, status, ends):
-        """Guards against an answer or a refusal of another request.
-
-        The duplicate of an earlier response has no length. If its connection
-        stays open, the failure must not wait for its end.
-        """
+        """Guards against delivering the response to another request."""
         duplicate = b"HTTP/1.1 %s\r\nId: old\r\n\r\nold" % status
 
         async def script(reader, writer):
@@ -227,10 +223,7 @@
         "rest", [b"", b"HTTP/1.1 200 OK\r\nId: new\r\nStamp: new\r\n"]
     )
     def test_connection_ends_after_duplicate(self, rest):
-        """Guards against a response without a complete head.
-
-        The status of the duplicate was taken for that of the response.
-        """
+        """Guards against delivering a response with the duplicate's status."""
 
         async def script(reader, writer):
             await read_head(reader)
--- a/tests/test_forward/test_shutdown.py
+++ b/tests/test_forward/test_shutdown.py
@@ -30,11 +30,7 @@
 
 
 class TestRunningRequests:
-    """Guards against a connection that ends without an answer.
-
-    An entry ended 5.4 s after SIGTERM while searchers were still working on its
-    requests, and closed the callers' connections.
-    """
+    """Guards against ending the process before a request is answered."""
 
     @pytest.mark.parametrize("before_s", [0.0, 2.0])
     def test_answered_when_the_entry_ends(self, before_s):
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -117,18 +117,18 @@
     """A control instance that stops answers the calls that it has read."""
 
     def test_call_is_answered_before_the_instance_ends(self):
-        """Guards against a connection that ends without an answer.
-
-        The acknowledgement of an announcement arrives from an entry while the
-        control instance stops.
-        """
+        """Guards against a connection that ends without an answer."""
         received = run(stop_during_an_announcement())
         assert received.startswith(b"HTTP/1.1 200")
         assert b"Connection: close" in received
 
 
 async def stop_during_an_announcement():
-    """Returns the bytes sent to the caller before the instance has stopped."""
+    """Stops an instance before an entry acknowledges an announcement.
+
+    Returns:
+        The bytes sent to the caller before the instance had stopped.
+    """
     cfg = ServingSettings(
         "127.0.0.2",
         "dc1",
