Logs and metrics that tell why a control instance does not answer

join_waiting with reason=no_answer covered three causes: the asked instances are unreachable, their loops are blocked, or they run without a member of the group. An exception that ended a background task was written by asyncio to standard error, and only once the task object was deleted.

- join_waiting: linked (those asked to which a link is open), voters, majority
- member_unavailable: an instance without a member says so, with its age and the number of join requests that it dropped; gauge member_open
- task_failed: an exception that ends a task or a callback, at once, with its stack frames; task_failures_total
- loop_blocked: the loop stood still for 0.3 s or more, in a tick or elsewhere

No logic is changed.

--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
-from greengagemoor.aio import sockets
+from greengagemoor.aio import background, sockets
 from greengagemoor.aio.dial_backoff import DialBackoff
 from greengagemoor.control.messages import Received, Send
 from greengagemoor.errors import WireError
@@ -18,7 +18,7 @@
 from greengagemoor.wire import peers_pb2 as pb
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
 FRAME_HEADER = struct.Struct("!I")
 MAX_FRAME_BYTES = 16_777_216
@@ -191,6 +191,11 @@
         """Returns the loop's time in seconds."""
         return self._loop.time()
 
+    @property
+    def names(self) -> Collection[str]:
+        """Names of the instances to which a link is open."""
+        return self._by_name.keys()
+
     async def start(self) -> None:
         """Listens, and starts the periodic check of the links.
 
@@ -216,7 +221,8 @@
 
     def _dial(self, address: str) -> None:
         if address not in self.dial_tasks_by_address:
-            task = self._loop.create_task(self._maintain_link(address))
+            name = f"dial {address}"
+            task = background.spawn(name, self._maintain_link(address))
             self.dial_tasks_by_address[address] = task
 
     async def _maintain_link(self, address: str) -> None:
--- a/greengagemoor/aio/pool.py
+++ b/greengagemoor/aio/pool.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from greengagemoor.aio import background
 from greengagemoor.aio.client import (
     ClientConnection,
     Headers,
@@ -58,10 +59,11 @@
             sending.conn = conn
             conn.send(data, done, matches_request)
             return sending
-        sending.task = self._loop.create_task(
+        sending.task = background.spawn(
+            f"send to {address}",
             self._connect_and_send(
                 address, data, done, matches_request, sending
-            )
+            ),
         )
         return sending
 
@@ -75,7 +77,9 @@
             done: called with whether the connection was refused, that is,
                 nothing listens there.
         """
-        task = self._loop.create_task(self._connect_and_close(address, done))
+        task = background.spawn(
+            f"probe {address}", self._connect_and_close(address, done)
+        )
         self._probes.add(task)
         task.add_done_callback(self._probes.discard)
 
--- a/greengagemoor/control/joining.py
+++ b/greengagemoor/control/joining.py
@@ -167,8 +167,15 @@
     joining.next_notice_at = state.now + min(
         max(age, FIRST_NOTICE_S), MAX_NOTICE_INTERVAL_S
     )
+    voters = len(state.voters)
     state.out.append(
-        JoinPending(joining.last_targets, _waiting_reason(state), age)
+        JoinPending(
+            joining.last_targets,
+            _waiting_reason(state),
+            age,
+            voters,
+            voters // 2 + 1 if voters else 0,
+        )
     )
 
 
--- a/greengagemoor/control/notices.py
+++ b/greengagemoor/control/notices.py
@@ -37,8 +37,12 @@
         asked: instances that were asked last.
         reason: why it has not been admitted, according to the replies.
         age_s: seconds since the first request.
+        voters: number of voters in the member list of this process.
+        majority: number of voters that must agree; 0 without a list.
     """
 
     asked: tuple[str, ...]
     reason: str
     age_s: float
+    voters: int
+    majority: int
--- a/greengagemoor/platform/program.py
+++ b/greengagemoor/platform/program.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
+from greengagemoor.aio import background
 from greengagemoor.errors import SettingsError
 from greengagemoor.platform.boot import boot_path, read_boot
 from greengagemoor.platform.dialect import PlatformDialect
@@ -26,6 +27,7 @@
     role: str, cfg: ServingSettings, listener: socket.socket | None
 ) -> None:
     lines = log.configure_line_writer(cfg.instance)
+    background.log_unhandled_exceptions()
     log.event("start", role=role, data_centre=cfg.data_centre)
     if role == "entry":
         from greengagemoor.serving.entry import EntryApp
@@ -43,8 +45,8 @@
     await app.start()
     gc.freeze()
     tasks = [
-        asyncio.create_task(_watch(app, cfg)),
-        asyncio.create_task(_flush(lines)),
+        background.spawn("watch_settings", _watch(app, cfg)),
+        background.spawn("flush_log", _flush(lines)),
     ]
     await stop_requested.wait()
     log.event("stop")
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import zlib
 from collections import deque
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
+from greengagemoor.aio import background
 from greengagemoor.aio.links import Links
 from greengagemoor.aio.requests import Limits
 from greengagemoor.aio.server import HttpServer, drain
@@ -24,7 +24,11 @@
 from greengagemoor.serving import dialect as calls
 from greengagemoor.serving import message_dispatch, open_calls
 from greengagemoor.serving.durable_state import DurableState
-from greengagemoor.serving.event_log import ControlStateLog, StandingLog
+from greengagemoor.serving.event_log import (
+    ControlStateLog,
+    StandingLog,
+    UnavailableLog,
+)
 from greengagemoor.serving.hub_storage import HubStorage
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.open_calls import BadCalls, OpenCalls
@@ -77,6 +81,7 @@
         self._decider: ControlDecider | None = None
         self._state_log = ControlStateLog()
         self._standing_log = StandingLog()
+        self._unavailable_log = UnavailableLog()
         self._linked_members: dict | None = None
         self._contacts: dict[str, str] = {}
         self._calls = OpenCalls()
@@ -105,7 +110,7 @@
         for server in self._servers:
             await server.start()
         await self._recover()
-        self._store_task = asyncio.create_task(self._hub_store.run())
+        self._store_task = background.spawn("store", self._hub_store.run())
 
     async def _recover(self) -> None:
         """Opens the data folder and starts the group member stored there."""
@@ -203,7 +208,10 @@
 
     def _step(self, now: float, batch: list, inbox: deque) -> None:
         out = []
-        if self._decider is not None:
+        if self._decider is None:
+            self._unavailable_log.note(now, batch)
+        else:
+            self._unavailable_log.end()
             member_msgs = [
                 msg for msg in batch if message_dispatch.is_for_member(msg)
             ]
@@ -246,7 +254,7 @@
         elif isinstance(msg, Done):
             self._calls.complete(msg)
         else:
-            group_log.log_notice(msg)
+            group_log.log_notice(msg, self._links.names)
 
     def _send(self, msg: Send, inbox: deque) -> None:
         if msg.to == self.cfg.instance:
@@ -299,7 +307,9 @@
             "links": len(self._links.open_links),
             "link_bytes_sent_total": self._links.sent_bytes,
             "bad_calls_total": self._bad_calls.total,
+            "member_open": float(self._decider is not None),
             "tick_failures_total": self._ticker.failures,
+            "task_failures_total": background.failures(),
             "log_lines_lost_total": log.dropped_lines(),
         }
 
@@ -312,4 +322,4 @@
         """
         log.event("member_restarts", level="ERROR")
         self._decider = self._operators.decider = None
-        asyncio.get_running_loop().create_task(self._recover())
+        background.spawn("recover", self._recover())
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
+from greengagemoor.aio import background
 from greengagemoor.aio.links import Links
 from greengagemoor.aio.pool import PendingRequest, Pool
 from greengagemoor.aio.requests import Limits
@@ -330,6 +331,7 @@
             ),
             "caller_connections": len(self._callers.conns),
             "tick_failures_total": self._ticker.failures,
+            "task_failures_total": background.failures(),
             "log_lines_lost_total": log.dropped_lines(),
         }
 
--- a/greengagemoor/serving/event_log.py
+++ b/greengagemoor/serving/event_log.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
+from greengagemoor.control.join_messages import JoinRequest
+from greengagemoor.control.joining import FIRST_NOTICE_S, MAX_NOTICE_INTERVAL_S
 from greengagemoor.feed import messages as feed
 from greengagemoor.feed.suspects import Standing, standing_of
 from greengagemoor.util.line_budget import LineBudget
@@ -52,6 +54,44 @@
         }
 
 
+class UnavailableLog:
+    """Logs that a control instance runs without its member of the group.
+
+    Join requests get no answer meanwhile; without these lines such an instance
+    can't be told from one that is down.
+    """
+
+    def __init__(self):
+        self._since: float | None = None
+        self._next_at = 0.0
+        self._dropped = 0
+
+    def note(self, now: float, msgs: Iterable[object]) -> None:
+        """Notes a tick without a member, and the messages of that tick."""
+        if self._since is None:
+            self._since = now
+            self._next_at = now + FIRST_NOTICE_S
+            self._dropped = 0
+        self._dropped += sum(
+            isinstance(getattr(msg, "payload", None), JoinRequest)
+            for msg in msgs
+        )
+        if now >= self._next_at:
+            age_s = now - self._since
+            self._next_at = now + min(age_s, MAX_NOTICE_INTERVAL_S)
+            log.event(
+                "member_unavailable",
+                level="WARNING",
+                reason="folder_not_open",
+                age_s=round(age_s, 1),
+                number=self._dropped,
+            )
+
+    def end(self) -> None:
+        """Ends the wait: the member runs."""
+        self._since = None
+
+
 def log_change(msg: object, document: int) -> None:
     """Logs a change that an entry's decider reports.
 
--- a/greengagemoor/serving/ticker.py
+++ b/greengagemoor/serving/ticker.py
@@ -14,6 +14,9 @@
     from greengagemoor.shell.clock import Clock
 
 MAX_SLEEP_S = 0.5
+BLOCKED_S = 0.3
+"""Least delay of other work that is logged: twice the interval of a leader's
+heartbeats."""
 
 
 class Ticker:
@@ -35,6 +38,7 @@
         self._inbox: deque = deque()
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
+        self._due_at = self._loop.time()
 
     def put(self, msg: object) -> None:
         """Adds a message, and schedules a tick unless one is scheduled."""
@@ -49,6 +53,8 @@
 
     def tick(self) -> None:
         """Runs a tick now."""
+        started_at = self._loop.time()
+        _log_if_blocked(started_at - self._due_at, "other")
         self._scheduled = False
         msgs = list(self._inbox)
         self._inbox.clear()
@@ -66,6 +72,7 @@
             )
             wake = None
         self._sleep(now, wake)
+        _log_if_blocked(self._loop.time() - started_at, "tick")
 
     def _sleep(self, now: float, wake: float | None) -> None:
         if self._timer is not None:
@@ -74,3 +81,11 @@
         at = latest if wake is None else min(wake, latest)
         delay = max(0.0005, at - now)
         self._timer = self._loop.call_later(delay, self.tick)
+        self._due_at = self._timer.when()
+
+
+def _log_if_blocked(for_s: float, ran: str) -> None:
+    if for_s >= BLOCKED_S:
+        log.event(
+            "loop_blocked", level="WARNING", for_s=round(for_s, 2), ran=ran
+        )
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -16,11 +16,12 @@
 from greengagemoor.aio.requests import HttpRequest
 from greengagemoor.control.commands import Member
 from greengagemoor.control.decider import ControlDecider
-from greengagemoor.control.join_messages import JoinReply
+from greengagemoor.control.join_messages import JoinReply, JoinRequest
 from greengagemoor.control.messages import Received
 from greengagemoor.feed.messages import LinkUp, RowsTaken, Subscribe
 from greengagemoor.platform.dialect import PlatformDialect
 from greengagemoor.serving.control import ControlApp
+from greengagemoor.serving.event_log import UnavailableLog
 from greengagemoor.serving.settings import ServingSettings
 from tests.test_aio.helpers import run
 from tests.test_platform.test_malformed_input import BEAT
@@ -221,3 +222,27 @@
         app, _ = play([], member_without_group(), Received("127.0.0.3", reply))
         assert "127.0.0.9" in app._client.targets
         assert "127.0.0.9:7740" in app._links.dial_tasks_by_address
+
+
+class TestUnavailableMember:
+    """An instance without its member says so; join requests get no answer."""
+
+    def test_says_that_its_folder_is_not_open(self, monkeypatch):
+        """Guards against a silent instance that looks like one that is down."""
+        lines = []
+        monkeypatch.setattr(
+            "greengagemoor.log.event",
+            lambda name, **fields: lines.append((name, fields)),
+        )
+        request = JoinRequest("127.0.0.3#a", "127.0.0.3", "127.0.0.3:7740", 1)
+        log = UnavailableLog()
+        for tenth in range(101):
+            msgs = [Received("127.0.0.3", request)] if tenth % 10 == 0 else []
+            log.note(tenth / 10, msgs)
+        ages = [fields["age_s"] for _, fields in lines]
+        assert ages == [1.0, 2.0, 4.0, 8.0]
+        assert lines[-1][1]["number"] == 9
+        assert {name for name, _ in lines} == {"member_unavailable"}
+        log.end()
+        log.note(20.0, [])
+        assert len(lines) == 4
