Control instances open their data folder again after any error

Cause: after a failed write the member is restarted by a background task. Nothing awaited the task, so it ended unseen and the instance ran without a member until the process was restarted.

Seven of the eight tests failed on the code before (run there with its task in place of the new class); the eighth guards a shutdown beside the new task.

Why this works: one object owns the recovery, at most one runs at a time, and its loop ends only with an open folder. Closing the store after a failed write raises nothing, since what is still buffered does not count as durable, and always releases the folder. A shutdown cancels the recovery.

--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -14,9 +14,7 @@
 from greengagemoor.aio.server import HttpServer, drain
 from greengagemoor.control import messages as control
 from greengagemoor.control.client import ControlClient, Done
-from greengagemoor.control.decider import ControlDecider
 from greengagemoor.control.join_messages import SeedsChanged
-from greengagemoor.control.state import Timing
 from greengagemoor.errors import DocumentError, InvalidInputError
 from greengagemoor.feed import messages as feed
 from greengagemoor.feed.hub import FeedHub
@@ -29,7 +27,6 @@
     StandingLog,
     UnavailableLog,
 )
-from greengagemoor.serving.hub_storage import HubStorage
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.open_calls import BadCalls, OpenCalls
 from greengagemoor.serving.operators import (
@@ -39,23 +36,21 @@
 )
 from greengagemoor.serving.quarantine import QuarantinePage
 from greengagemoor.serving.quota_dealing import QuotaDealing
+from greengagemoor.serving.recovery import MemberRecovery, make_member
 from greengagemoor.serving.ticker import Ticker
 from greengagemoor.shell import group_log
 from greengagemoor.shell.clock import Clock
 
 if TYPE_CHECKING:
     from greengagemoor.aio.requests import HttpRequest
+    from greengagemoor.control.decider import ControlDecider
     from greengagemoor.control.messages import Send
     from greengagemoor.serving.dialect import Dialect
+    from greengagemoor.serving.durable_state import Opened
     from greengagemoor.serving.settings import ServingSettings
 
-HEARTBEAT_S = 0.15
-ELECTION_S = 0.6
-"""Four heartbeats; a failed leader is replaced within two seconds."""
 OPEN_CALLS_TIMEOUT_S = OPERATION_TIMEOUT_S + 0.1
 """Time in which all open calls are answered, operations being the slowest."""
-JOIN_S = 0.25
-"""Interval of the join requests of a control instance outside the group."""
 
 
 class ControlApp:
@@ -77,7 +72,9 @@
             self._ticker.put_threadsafe,
             cfg.other_seeds if cfg.founds_group else None,
         )
-        self._hub_store = HubStorage(self._hub, self._durable)
+        self._recovery = MemberRecovery(
+            self._durable, self._hub, self.clock, self._start_member
+        )
         self._decider: ControlDecider | None = None
         self._state_log = ControlStateLog()
         self._standing_log = StandingLog()
@@ -104,33 +101,18 @@
             )
 
     async def start(self) -> None:
-        """Starts the listeners, then recovers the durable state."""
+        """Starts the listeners and the recovery of the durable state."""
         await self._links.start()
         self._links.set_addresses(set(self.cfg.seeds))
         for server in self._servers:
             await server.start()
-        await self._recover()
-        self._store_task = background.spawn("store", self._hub_store.run())
+        self._recovery.start()
+        storage = self._recovery.storage
+        self._store_task = background.spawn("store", storage.run())
 
-    async def _recover(self) -> None:
-        """Opens the data folder and starts the group member stored there."""
-        opened = await self._durable.open()
-        now = self.clock.now()
-        self._hub_store.restore(now)
-        self._decider = ControlDecider(
-            opened.member_id,
-            self.cfg.peer_address,
-            self.cfg.other_seeds,
-            random.Random(self._rng.getrandbits(64)),
-            Timing(
-                heartbeat=HEARTBEAT_S,
-                election=ELECTION_S,
-                join=JOIN_S,
-                silence_timeout=self.cfg.catch_up_s,
-            ),
-            founders=opened.founders,
-        )
-        self._operators.decider = self._decider
+    def _start_member(self, opened: Opened) -> None:
+        member = make_member(opened, self.cfg, self._rng)
+        self._decider = self._operators.decider = member
         self._ticker.put(opened.recovered)
 
     def reload(self, cfg: ServingSettings) -> None:
@@ -146,6 +128,7 @@
         time limit. Returns once all queued disk writes are synced.
         """
         self._store_task.cancel()
+        await self._recovery.stop()
         for server in self._servers:
             server.limits.closing = True
             server.stop_accepting()
@@ -320,6 +303,8 @@
         stayed silent would reduce the number of failures that the group
         tolerates by one.
         """
+        if self._recovery.is_running:
+            return
         log.event("member_restarts", level="ERROR")
         self._decider = self._operators.decider = None
-        background.spawn("recover", self._recover())
+        self._recovery.start()
--- a/greengagemoor/serving/durable_state.py
+++ b/greengagemoor/serving/durable_state.py
@@ -86,35 +86,46 @@
         """Opens the folder; retries until the disk accepts writes.
 
         A folder that is damaged, or has another owner or format, is emptied and
-        opened as a new one.
+        opened as a new one. No error ends the attempts: without its folder the
+        instance answers nobody.
         """
-        await self.close()
         loop = asyncio.get_running_loop()
+        is_damaged = False
         while True:
             try:
+                await self.close()
+                if is_damaged:
+                    await loop.run_in_executor(None, self._delete_files)
+                    is_damaged = False
                 return await loop.run_in_executor(None, self._open)
-            except OSError as exc:
-                log.event("disk_unusable", level="ERROR", reason=exc)
             except (CorruptRecordError, FolderMismatchError) as exc:
                 # With its old identity the member could vote contrary to
                 # promises that it has lost; with an empty folder it joins
                 # under a new identity.
                 log.event("disk_damaged", level="ERROR", reason=exc)
-                await loop.run_in_executor(None, self._delete_files)
+                is_damaged = True
+            except Exception as exc:
+                log.event(
+                    "disk_unusable",
+                    level="ERROR",
+                    reason=f"{type(exc).__name__}: {exc}",
+                    where=log.where(exc),
+                )
             await asyncio.sleep(REOPEN_DELAY_S)
 
     def _open(self) -> Opened:
         folder = DataFolder(self._path, self._owner)
+        store = Store(folder)
         try:
             founders = self._store_founders(folder)
-            store = Store(folder)
             recovered = store.recover()
+            writer = DiskWriter(store, self._put)
+            writer.start()
         except Exception:
-            folder.close()
+            store.close()
             raise
         self._folder = folder
-        self._writer = DiskWriter(store, self._put)
-        self._writer.start()
+        self._writer = writer
         member_id = f"{self._owner}#{folder.format.identity}"
         log.event("disk_open", member=member_id, entries=len(recovered.entries))
         return Opened(member_id, recovered, founders)
--- a/greengagemoor/storage/store.py
+++ b/greengagemoor/storage/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -175,9 +176,15 @@
         os.fsync(self._journal.fileno())
 
     def close(self) -> None:
-        """Closes the journal and releases the folder."""
+        """Closes the journal and releases the folder.
+
+        Raises nothing after a failed write: its records are still buffered, and
+        closing the journal tries to write them again. None of them counts as
+        durable.
+        """
         if self._journal is not None:
-            self._journal.close()
+            with contextlib.suppress(OSError):
+                self._journal.close()
         self._folder.close()
 
 
--- /dev/null
+++ b/tests/test_serving/test_recovery.py
@@ -0,0 +1,198 @@
+"""A control instance reopens its data folder after each failure."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from greengagemoor.control.messages import HardState, Persist, PersistFailed
+from greengagemoor.platform.dialect import PlatformDialect
+from greengagemoor.serving import durable_state, recovery
+from greengagemoor.serving.control import ControlApp
+from greengagemoor.serving.settings import ServingSettings
+from greengagemoor.storage.folder import DataFolder
+from tests.test_aio.helpers import run
+
+FULL_DISK = Path("/dev/full")
+"""A device whose writes all fail with ENOSPC."""
+
+
+@pytest.fixture(autouse=True)
+def short_delays(monkeypatch):
+    """Shortens the wait between attempts to open a folder."""
+    monkeypatch.setattr(durable_state, "REOPEN_DELAY_S", 0.01)
+
+
+@asynccontextmanager
+async def open_instance(path):
+    """Yields a control instance without listeners, its member running."""
+    cfg = ServingSettings(
+        "127.0.0.2", "dc1", "127.0.0.2:7740", (), data_folder=str(path)
+    )
+    app = ControlApp(cfg, PlatformDialect())
+    app._recovery.start()
+    await member_of(app)
+    yield app
+    await app._recovery.stop()
+    await app._durable.close()
+
+
+async def member_of(app, previous=None):
+    """Waits for a member other than ``previous``; returns it."""
+    while app._decider in (None, previous):
+        await asyncio.sleep(0.005)
+    return app._decider
+
+
+def fill_disk(app):
+    """Makes all writes to the journal fail, those of its buffer included."""
+    store = app._durable._writer._store
+    store._journal.close()
+    store._journal = FULL_DISK.open("r+b")
+
+
+class TestFullDisk:
+    """A member runs again once its disk accepts writes."""
+
+    def test_member_returns_after_its_disk_was_full(self, tmp_path):
+        """Guards against a control instance that runs but never answers.
+
+        Closing the journal writes what is left in its buffer, which fails as
+        the write before it did.
+        """
+
+        async def play():
+            async with open_instance(tmp_path / "d") as app:
+                first = app._decider
+                fill_disk(app)
+                app._durable.write(Persist(1, HardState("", 3, "")))
+                return first, await member_of(app, first)
+
+        first, second = run(play())
+        assert second.state.member_id == first.state.member_id
+
+    def test_folder_is_opened_once_after_two_failed_writes(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against two writers of one journal."""
+        opened = []
+        make = DataFolder.__init__
+
+        def count(folder, *arguments):
+            opened.append(folder)
+            make(folder, *arguments)
+
+        async def play():
+            async with open_instance(tmp_path / "d") as app:
+                monkeypatch.setattr(DataFolder, "__init__", count)
+                first = app._decider
+                for op in (1, 2):
+                    app._ticker.put(PersistFailed(op, "full"))
+                    await asyncio.sleep(0)
+                await member_of(app, first)
+
+        run(play())
+        assert len(opened) == 1
+
+
+class TestUnexpectedErrors:
+    """No error ends the attempts to open the folder."""
+
+    @pytest.mark.parametrize("error", [RuntimeError, MemoryError, KeyError])
+    def test_opening_is_tried_again(self, tmp_path, monkeypatch, error):
+        """Guards against a member that never starts after an odd error."""
+        errors = [error("once"), error("twice")]
+        make = DataFolder.__init__
+
+        def fail_twice(folder, *arguments):
+            if errors:
+                raise errors.pop()
+            make(folder, *arguments)
+
+        monkeypatch.setattr(DataFolder, "__init__", fail_twice)
+
+        async def play():
+            async with open_instance(tmp_path / "d") as app:
+                return app._decider
+
+        assert run(play()) is not None
+        assert not errors
+
+    def test_damaged_folder_is_emptied_once_files_can_be_removed(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against an error while the folder is emptied."""
+        errors = [OSError("read-only"), FileNotFoundError("removed")]
+        unlink = Path.unlink
+
+        def fail_twice(path, *arguments, **options):
+            if errors and path.parent.name == "d":
+                raise errors.pop()
+            unlink(path, *arguments, **options)
+
+        async def play():
+            async with open_instance(tmp_path / "d") as app:
+                return app._decider.state.member_id
+
+        first = run(play())
+        for path in (tmp_path / "d").glob("journal-*.bin"):
+            path.write_bytes(b"")
+        monkeypatch.setattr(Path, "unlink", fail_twice)
+        second = run(play())
+        assert second != first
+        assert not errors
+
+    def test_restored_rows_that_fail_do_not_stop_the_member(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against stored rows that keep the member from starting."""
+        errors = [ValueError("rows")]
+
+        def fail_once(hub, now):
+            if errors:
+                raise errors.pop()
+
+        monkeypatch.setattr(recovery.HubStorage, "restore", fail_once)
+
+        async def play():
+            async with open_instance(tmp_path / "d") as app:
+                return app._decider
+
+        assert run(play()) is not None
+        assert not errors
+
+
+class TestStop:
+    """A stopping instance leaves no thread behind."""
+
+    def test_stops_while_its_disk_is_full(self, tmp_path, monkeypatch):
+        """Guards against a folder that is opened after the instance stopped."""
+
+        def fail(folder, *arguments):
+            raise OSError(28, "No space left on device")
+
+        monkeypatch.setattr(DataFolder, "__init__", fail)
+
+        async def play():
+            cfg = ServingSettings(
+                "127.0.0.2",
+                "dc1",
+                "127.0.0.2:7740",
+                (),
+                data_folder=str(tmp_path / "d"),
+            )
+            app = ControlApp(cfg, PlatformDialect())
+            app._recovery.start()
+            await asyncio.sleep(0.05)
+            await app._recovery.stop()
+            await app._durable.close()
+            monkeypatch.undo()
+            await asyncio.sleep(0.05)
+            return app
+
+        app = run(play())
+        assert app._decider is None
+        assert app._durable._writer is None
