Rows that could not be stored are stored once the disk accepts writes

After a full disk, a restarted control instance lacked the searchers, the number of entries or the suspect requests that had changed meanwhile.

Cause: the storage of the hub's state recorded a version as stored before it knew whether the write succeeded, and also while the folder was closed. The row was written again only with the next change.

The version is now recorded once the file has that content and its folder is still open. The test failed before.

--- a/greengagemoor/serving/durable_state.py
+++ b/greengagemoor/serving/durable_state.py
@@ -158,18 +158,26 @@
         if self._writer is not None:
             self._writer.write(operation)
 
-    async def store(self, name: str, content: _Kept) -> None:
-        """Replaces a file that is read after a restart; logs a failure."""
-        if self._folder is None:
-            return
+    async def store(self, name: str, content: _Kept) -> bool:
+        """Replaces a file that is read after a restart; logs a failure.
+
+        Returns:
+            Whether the file has this content; not while the folder is closed.
+        """
+        folder = self._folder
+        if folder is None:
+            return False
         data = codec.encode(content)
         loop = asyncio.get_running_loop()
         try:
             await loop.run_in_executor(
-                None, self._folder.write_atomically, name, data
+                None, folder.write_atomically, name, data
             )
         except OSError as exc:
             log.event("rows_not_kept", level="WARNING", reason=exc)
+            return False
+        # The folder may have been closed, and emptied, in the meantime.
+        return folder is self._folder
 
     def load_searchers(self, name: str) -> tuple[SearcherRow, ...]:
         """Returns the stored rows of searchers; () if missing or damaged."""
--- a/greengagemoor/serving/hub_storage.py
+++ b/greengagemoor/serving/hub_storage.py
@@ -28,7 +28,8 @@
     def __init__(self, hub: FeedHub, durable: DurableState):
         self._hub = hub
         self._durable = durable
-        self._stored_suspect_changes = 0
+        self._stored: dict[str, int] = {}
+        """Versions of the stored contents, by file name."""
 
     def restore(self, now: float) -> None:
         """Restores the hub from the state stored before the restart."""
@@ -37,28 +38,31 @@
         hub.restore_peer_rows(now, durable.load_searchers(OTHER_ROWS))
         hub.restore_entry_count(now, durable.load_entry_count())
         hub.suspects.restore(durable.load_suspects())
-        # The folder may have been emptied, so known suspects are written again.
-        self._stored_suspect_changes = 0
+        # The folder may have been emptied, so all is written again.
+        self._stored.clear()
 
     async def run(self) -> None:
         """Stores changes until it is cancelled."""
-        hub, durable = self._hub, self._durable
-        own_version, others_version, entries = (
-            hub.number,
-            hub.peer_rows_version,
-            0,
-        )
         while True:
             await asyncio.sleep(STORE_INTERVAL_S)
-            if hub.suspects.table.changes != self._stored_suspect_changes:
-                self._stored_suspect_changes = hub.suspects.table.changes
-                await durable.store(SUSPECTS, hub.suspects.rows_to_store())
-            if hub.number != own_version:
-                own_version = hub.number
-                await durable.store(OWN_ROWS, hub.rows_to_store())
-            if hub.peer_rows_version != others_version:
-                others_version = hub.peer_rows_version
-                await durable.store(OTHER_ROWS, hub.peer_rows_to_store())
-            if hub.recent_entry_count != entries:
-                entries = hub.recent_entry_count
-                await durable.store(ENTRIES, KnownPeers((), entries))
+            await self._store_changes()
+
+    async def _store_changes(self) -> None:
+        """Stores what has changed; keeps for later what could not be stored."""
+        hub = self._hub
+        for name, version, content in (
+            (
+                SUSPECTS,
+                hub.suspects.table.changes,
+                hub.suspects.rows_to_store,
+            ),
+            (OWN_ROWS, hub.number, hub.rows_to_store),
+            (OTHER_ROWS, hub.peer_rows_version, hub.peer_rows_to_store),
+            (ENTRIES, hub.recent_entry_count, self._entry_count),
+        ):
+            is_changed = version != self._stored.get(name, 0)
+            if is_changed and await self._durable.store(name, content()):
+                self._stored[name] = version
+
+    def _entry_count(self) -> KnownPeers:
+        return KnownPeers((), self._hub.recent_entry_count)
--- a/tests/test_serving/test_durable_state.py
+++ b/tests/test_serving/test_durable_state.py
@@ -16,6 +16,7 @@
 from greengagemoor.serving import hub_storage
 from greengagemoor.serving.durable_state import ENTRIES, SUSPECTS, DurableState
 from greengagemoor.serving.hub_storage import HubStorage
+from greengagemoor.storage.folder import DataFolder
 
 FOUNDERS = {"127.0.0.2": "127.0.0.2:7740", "127.0.0.3": "127.0.0.3:7740"}
 
@@ -143,3 +144,19 @@
         self.restart(tmp_path / "d", SUSPECT)
         self.restart(tmp_path / "d", damage=damage)
         assert self.restart(tmp_path / "d") == (SUSPECT,)
+
+    def test_stored_once_the_disk_accepts_writes(self, tmp_path, monkeypatch):
+        """Guards against a row that is lost because its write failed once."""
+        monkeypatch.setattr(hub_storage, "STORE_INTERVAL_S", 0.001)
+        errors = [OSError(28, "No space left on device")]
+        write = DataFolder.write_atomically
+
+        def fail_once(folder, name, data):
+            if name == SUSPECTS and errors:
+                raise errors.pop()
+            write(folder, name, data)
+
+        monkeypatch.setattr(DataFolder, "write_atomically", fail_once)
+        self.restart(tmp_path / "d", SUSPECT)
+        assert not errors
+        assert self.restart(tmp_path / "d") == (SUSPECT,)
