Recovery syncs the directory before it removes older files

The removal could become durable without the renaming, as names are kept or lost independently.

Found by reading for the same cause elsewhere; no run has shown it. The test plays the kill and checks the order of the steps; it failed before (no sync at all).

--- a/greengagemoor/storage/store.py
+++ b/greengagemoor/storage/store.py
@@ -49,6 +49,9 @@
     def recover(self) -> Recovered:
         """Reads the durable state and opens the journal for appending.
 
+        The directory is synced before older generations are removed: the
+        process may have been killed before it could sync the newest name.
+
         Raises:
             CorruptRecordError: synced data is damaged or missing. The member
                 must restart with an empty folder, under a new identity.
@@ -66,6 +69,7 @@
         self._generation = max(generations)
         snapshot = self._read_snapshot()
         found = self._read_journal()
+        self._folder.sync_directory()
         self._remove_older()
         hard, entries = _replay(found.payloads, snapshot)
         self._open_journal(found.good_bytes)
--- a/tests/test_storage/test_store.py
+++ b/tests/test_storage/test_store.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+from pathlib import Path
 
 import pytest
 
@@ -175,6 +176,48 @@
 class TestFailures:
     """Full disks and failed syncs."""
 
+    def test_newest_name_is_durable_before_older_files_are_removed(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against losing both generations to a loss of power.
+
+        A process is killed after it renamed the files of a new generation and
+        before it synced the directory. The next start removes the old files;
+        without a sync a loss of power may undo the renaming only.
+        """
+        write_journal(tmp_path)
+        snapshot = Snapshot(3, 1, (), b"")
+        steps = []
+
+        def die(folder):
+            steps.append("killed")
+            raise KeyboardInterrupt
+
+        store = open_store(tmp_path)
+        store.recover()
+        start = Store._start_generation
+
+        def start_killed(self, *arguments):
+            monkeypatch.setattr(DataFolder, "sync_directory", die)
+            start(self, *arguments)
+
+        monkeypatch.setattr(Store, "_start_generation", start_killed)
+        with pytest.raises(KeyboardInterrupt):
+            store.write([Persist(9, HARD, entries(4), snapshot)])
+        store.close()
+        unlink = Path.unlink
+
+        def record_unlink(path, *arguments, **options):
+            steps.append(f"remove {path.name}")
+            unlink(path, *arguments, **options)
+
+        monkeypatch.setattr(Path, "unlink", record_unlink)
+        monkeypatch.setattr(
+            DataFolder, "sync_directory", lambda _: steps.append("sync")
+        )
+        reopen(tmp_path)
+        assert steps.index("sync") < steps.index("remove journal-1.bin")
+
     @pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
     def test_writes_are_rejected_after_a_failed_sync(
         self, tmp_path, monkeypatch, code
