A full disk at the first start loses neither the founders nor the used mark

With a full disk on its first start, a control instance created its folder, but failed to store the founders or the mark of a used folder.

The founders are kept until they are stored in the folder whose identity was created in this process; the mark is written by any start that finds it missing. Both tests failed before. Found by reading; no run of the programs has shown it.

--- a/greengagemoor/serving/durable_state.py
+++ b/greengagemoor/serving/durable_state.py
@@ -79,6 +79,7 @@
         self._owner = owner
         self._put = put
         self._founders = founders
+        self._first_identity: str | None = None
         self._writer: DiskWriter | None = None
         self._folder: DataFolder | None = None
 
@@ -138,9 +139,16 @@
         the first founder loses its disk and all instances are killed before
         the group exists.
         """
-        configured, self._founders = self._founders, None
-        if configured is not None and folder.is_new:
-            folder.write_atomically(FOUNDERS, json.dumps(configured).encode())
+        identity = folder.format.identity
+        if self._first_identity is None:
+            self._first_identity = identity
+            if not folder.is_new:
+                self._founders = None
+        if self._founders is not None and identity == self._first_identity:
+            data = json.dumps(self._founders).encode()
+            folder.write_atomically(FOUNDERS, data)
+        # Kept until here, as the disk may have been full.
+        self._founders = None
         path = self._path / FOUNDERS
         if not path.exists():
             return None
--- a/greengagemoor/storage/store.py
+++ b/greengagemoor/storage/store.py
@@ -28,6 +28,8 @@
 ENTRY = b"E"
 MARK = b"M"
 SNAPSHOT = b"S"
+USED_FILE = "USED"
+"""Its presence tells a folder whose journal is lost from a new one."""
 JOURNAL_GLOB = "journal-*.bin"
 SNAPSHOT_GLOB = "snapshot-*.bin"
 
@@ -64,13 +66,14 @@
                     "instance joins again under a new identity"
                 )
             self._start_generation(1, [])
-            self._folder.write_atomically("USED", b"1")
+            self._mark_used()
             return Recovered(None, None, ())
         self._generation = max(generations)
         snapshot = self._read_snapshot()
         found = self._read_journal()
         self._folder.sync_directory()
         self._remove_older()
+        self._mark_used()
         hard, entries = _replay(found.payloads, snapshot)
         self._open_journal(found.good_bytes)
         return Recovered(hard, snapshot, entries)
@@ -82,7 +85,12 @@
         ]
 
     def _was_used(self) -> bool:
-        return (self._folder.path / "USED").exists()
+        return (self._folder.path / USED_FILE).exists()
+
+    def _mark_used(self) -> None:
+        """Marks the folder as used, unless an earlier start has done so."""
+        if not self._was_used():
+            self._folder.write_atomically(USED_FILE, b"1")
 
     def _journal_path(self, generation: int) -> Path:
         return self._folder.path / f"journal-{generation}.bin"
--- a/tests/test_serving/test_durable_state.py
+++ b/tests/test_serving/test_durable_state.py
@@ -13,8 +13,13 @@
     SuspectRows,
 )
 from greengagemoor.feed.timing import Timing
-from greengagemoor.serving import hub_storage
-from greengagemoor.serving.durable_state import ENTRIES, SUSPECTS, DurableState
+from greengagemoor.serving import durable_state, hub_storage
+from greengagemoor.serving.durable_state import (
+    ENTRIES,
+    SUSPECTS,
+    DurableState,
+)
+from greengagemoor.serving.durable_state import FOUNDERS as FOUNDERS_FILE
 from greengagemoor.serving.hub_storage import HubStorage
 from greengagemoor.storage.folder import DataFolder
 
@@ -64,6 +69,24 @@
         opened = open_folder(tmp_path / "d", FOUNDERS, damage)
         assert opened.founders is None
 
+    def test_stored_once_the_disk_accepts_writes(self, tmp_path, monkeypatch):
+        """Guards against a group that nobody may found.
+
+        The disk is full when the instance starts for the first time.
+        """
+        errors = [OSError(28, "No space left on device")]
+        write = DataFolder.write_atomically
+
+        def fail_once(folder, name, data):
+            if name == FOUNDERS_FILE and errors:
+                raise errors.pop()
+            write(folder, name, data)
+
+        monkeypatch.setattr(DataFolder, "write_atomically", fail_once)
+        monkeypatch.setattr(durable_state, "REOPEN_DELAY_S", 0.001)
+        assert open_folder(tmp_path / "d", FOUNDERS).founders == FOUNDERS
+        assert not errors
+
 
 class TestEntries:
     """The number of entries is restored after a restart."""
--- a/tests/test_storage/test_store.py
+++ b/tests/test_storage/test_store.py
@@ -176,6 +176,31 @@
 class TestFailures:
     """Full disks and failed syncs."""
 
+    def test_marked_as_used_once_the_disk_accepts_writes(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against a lost journal that is taken for a new folder.
+
+        The disk was full when the folder was to be marked as used.
+        """
+        errors = [OSError(errno.ENOSPC, "No space left on device")]
+        write = DataFolder.write_atomically
+
+        def fail_once(folder, name, data):
+            if name == "USED" and errors:
+                raise errors.pop()
+            write(folder, name, data)
+
+        monkeypatch.setattr(DataFolder, "write_atomically", fail_once)
+        store = open_store(tmp_path)
+        with pytest.raises(OSError, match="No space"):
+            store.recover()
+        store.close()
+        reopen(tmp_path)
+        journal(tmp_path).unlink()
+        with pytest.raises(CorruptRecordError):
+            reopen(tmp_path)
+
     def test_newest_name_is_durable_before_older_files_are_removed(
         self, tmp_path, monkeypatch
     ):
