--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -15,12 +15,12 @@
 from greengagemoor.control import messages as control
 from greengagemoor.control.client import ControlClient, Done
 from greengagemoor.control.join_messages import SeedsChanged
-from greengagemoor.errors import DocumentError, InvalidInputError
+from greengagemoor.errors import DocumentError
 from greengagemoor.feed import messages as feed
 from greengagemoor.feed.hub import FeedHub
 from greengagemoor.feed.timing import Timing as HubTiming
-from greengagemoor.serving import dialect as calls
-from greengagemoor.serving import message_dispatch, open_calls
+from greengagemoor.serving import message_dispatch
+from greengagemoor.serving.control_calls import ControlCalls
 from greengagemoor.serving.durable_state import DurableState
 from greengagemoor.serving.event_log import (
     ControlStateLog,
@@ -28,7 +28,7 @@
     UnavailableLog,
 )
 from greengagemoor.serving.metrics import ServingMetrics
-from greengagemoor.serving.open_calls import BadCalls, OpenCalls
+from greengagemoor.serving.open_calls import OpenCalls
 from greengagemoor.serving.operators import (
     OPERATION_TIMEOUT_S,
     EvacuationPage,
@@ -42,7 +42,6 @@
 from greengagemoor.shell.clock import Clock
 
 if TYPE_CHECKING:
-    from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.control.decider import ControlDecider
     from greengagemoor.control.messages import Send
     from greengagemoor.serving.dialect import Dialect
@@ -85,11 +84,19 @@
         self._operators = OperatorCalls(
             cfg, dialect, self._calls, self._ticker.put, self.clock.now
         )
-        self._bad_calls = BadCalls()
+        self.calls = ControlCalls(
+            dialect,
+            self._ticker.put,
+            self.clock,
+            self._hub,
+            self._calls,
+            self._operators,
+        )
         self._metrics = ServingMetrics(self._gauges)
         servers = {cfg.control_address, cfg.directory_address} - {""}
         self._servers = [
-            HttpServer(address, self, Limits()) for address in sorted(servers)
+            HttpServer(address, self.calls, Limits())
+            for address in sorted(servers)
         ]
         if cfg.metrics_address:
             page = QuarantinePage(
@@ -136,43 +143,6 @@
         await drain(self._servers, timeout_s)
         await self._durable.close()
 
-    # Incoming calls.
-
-    def handle_request(self, req: HttpRequest) -> None:
-        """Handles a call of an operator, a searcher or a caller."""
-        try:
-            call = self._dialect.read_call(req)
-        except InvalidInputError as exc:
-            self._bad_calls.note(self.clock.now(), req.target, exc)
-            call = None
-        if isinstance(call, calls.AnnounceCall):
-            self._ticker.put(
-                feed.SearcherAnnounced(self._calls.open(req), call.row)
-            )
-        elif isinstance(call, calls.LeaveCall):
-            self._ticker.put(
-                feed.SearcherLeaving(
-                    self._calls.open(req), call.searcher_id, call.start
-                )
-            )
-        elif isinstance(call, calls.PutCall):
-            self._operators.handle_put(req, call)
-        elif isinstance(call, calls.ReadCall):
-            self._operators.handle_read(req)
-        elif isinstance(call, calls.EvacuateCall):
-            self._operators.handle_evacuate(req, call)
-        elif isinstance(call, calls.FindEntriesCall):
-            entries = self._hub.entries_for_caller(
-                call.data_centre, self._dialect.max_entries
-            )
-            open_calls.answer(req, self._dialect.write_entries(entries))
-        else:
-            open_calls.answer(req, self._dialect.write_unknown_call())
-
-    def handle_disconnect(self, req: HttpRequest) -> None:
-        """Discards a call whose connection closed; its operation continues."""
-        self._calls.discard(req)
-
     # Ticks.
 
     def _tick(self, now: float, msgs: list) -> float | None:
@@ -289,7 +259,7 @@
             **self._quotas.dealer.gauges(),
             "links": len(self._links.open_links),
             "link_bytes_sent_total": self._links.sent_bytes,
-            "bad_calls_total": self._bad_calls.total,
+            "bad_calls_total": self.calls.bad_calls.total,
             "member_open": float(self._decider is not None),
             "tick_failures_total": self._ticker.failures,
             "task_failures_total": background.failures(),
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -69,7 +69,7 @@
         for number, body in enumerate(bodies):
             caller = Caller()
             target = f"/v1/instances/i{number}/heartbeat"
-            app.handle_request(
+            app.calls.handle_request(
                 HttpRequest("POST", target, [], body, 0.0, caller)
             )
             for _ in range(LOOP_TURNS):
@@ -174,7 +174,7 @@
         msgs = [Received(entry.name, entry) for entry in entries]
         app, _ = play([], None, *msgs)
         conn = Mock()
-        app.handle_request(
+        app.calls.handle_request(
             HttpRequest("GET", "/v1/resolve?zone=dc2", [], b"", 0.0, conn)
         )
         addresses = json.loads(conn.reply.call_args.args[3])["addrs"]
