An exception in a tick of a control instance loses no write of its member

Callers would have seen a control instance that answers nobody, or worse a change that was acknowledged and is gone after a restart: an exception in any part of a tick dropped all output that followed, the member's writes included. The next write that was synced was reported as covering the lost one. A member whose step raised each time did so for ever, beside a process that looked alive.

Writes are handed to the disk before anything else of the tick is handled, each output message is handled by itself, and a member whose step raises is restarted from its disk, at most twice a second. Found by looking for the cause of the silent instances elsewhere; no run of the programs has shown it.

--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -161,33 +161,50 @@
 
     def _step(self, now: float, batch: list, inbox: deque) -> None:
         out = []
-        if self._decider is None:
-            self._unavailable_log.note(now, batch)
-        else:
-            self._unavailable_log.end()
-            member_msgs = [
-                msg for msg in batch if message_dispatch.is_for_member(msg)
-            ]
-            out += self._decider.step(now, member_msgs)
-            self._update_members()
-            self._state_log.note(self._decider)
-            self._quotas.note_state(self._decider.state)
+        try:
+            out += self._step_member(now, batch)
+        except Exception as exc:
+            # Writes of this step may be lost, although later ones would be
+            # reported as synced; only the disk shows the member's state.
+            background.log_failure("member", exc)
+            self._restart_member()
         out += self._hub.step(now, filter(message_dispatch.is_for_hub, batch))
         out += self._client.step(
             now, filter(message_dispatch.is_for_client, batch)
         )
         out += self._quotas.step(now, batch)
-        for msg in batch:
-            if isinstance(msg, control.PersistFailed):
-                self._restart_member()
+        if any(isinstance(msg, control.PersistFailed) for msg in batch):
+            self._restart_member()
         for msg in out:
+            self._handle(msg, inbox)
+
+    def _step_member(self, now: float, batch: list) -> list:
+        """Runs the member, and hands its writes to the disk."""
+        if self._decider is None:
+            self._unavailable_log.note(now, batch)
+            return []
+        self._unavailable_log.end()
+        out = self._decider.step(
+            now, filter(message_dispatch.is_for_member, batch)
+        )
+        for msg in out:
+            if isinstance(msg, control.Persist):
+                self._durable.write(msg)
+        self._update_members()
+        self._state_log.note(self._decider)
+        self._quotas.note_state(self._decider.state)
+        return out
+
+    def _handle(self, msg: object, inbox: deque) -> None:
+        """Handles one output message; an exception affects no other one."""
+        try:
             self._act(msg, inbox)
+        except Exception as exc:
+            background.log_failure(type(msg).__name__, exc)
 
     def _act(self, msg: object, inbox: deque) -> None:
         if isinstance(msg, control.Send):
             self._send(msg, inbox)
-        elif isinstance(msg, control.Persist):
-            self._durable.write(msg)
         elif isinstance(msg, control.NumberedDocumentAccepted):
             self._update_services(msg)
             inbox.append(msg)
@@ -269,9 +286,9 @@
     def _restart_member(self) -> None:
         """Restarts the member from its durable state once the disk works.
 
-        After a failed write the content of the disk is unknown. A member that
-        stayed silent would reduce the number of failures that the group
-        tolerates by one.
+        After a failed write or step the content of the disk is unknown. A
+        member that stayed silent would reduce the number of failures that the
+        group tolerates by one.
         """
         if self._recovery.is_running:
             return
--- a/greengagemoor/serving/recovery.py
+++ b/greengagemoor/serving/recovery.py
@@ -22,6 +22,8 @@
 HEARTBEAT_S = 0.15
 ELECTION_S = 0.6
 """Four heartbeats; a failed leader is replaced within two seconds."""
+RESTART_INTERVAL_S = 0.5
+"""Shortest time between two starts of the member."""
 JOIN_S = 0.25
 """Interval of the join requests of a control instance outside the group."""
 
@@ -53,6 +55,7 @@
         self._clock = clock
         self._start_member = start_member
         self._task: asyncio.Task | None = None
+        self._started_at = float("-inf")
 
     @property
     def is_running(self) -> bool:
@@ -71,7 +74,11 @@
             await asyncio.wait([self._task])
 
     async def _run(self) -> None:
+        wait_s = self._started_at + RESTART_INTERVAL_S - self._clock.now()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
         opened = await self._durable.open()
+        self._started_at = self._clock.now()
         try:
             self.storage.restore(self._clock.now())
         except Exception as exc:
--- a/tests/test_serving/test_recovery.py
+++ b/tests/test_serving/test_recovery.py
@@ -8,10 +8,17 @@
 
 import pytest
 
-from greengagemoor.control.messages import HardState, Persist, PersistFailed
+from greengagemoor.control.client import Done
+from greengagemoor.control.messages import (
+    HardState,
+    OpKind,
+    Persist,
+    PersistFailed,
+)
 from greengagemoor.platform.dialect import PlatformDialect
 from greengagemoor.serving import durable_state, recovery
 from greengagemoor.serving.control import ControlApp
+from greengagemoor.serving.durable_state import DurableState
 from greengagemoor.serving.settings import ServingSettings
 from greengagemoor.storage.folder import DataFolder
 from tests.test_aio.helpers import run
@@ -24,6 +31,7 @@
 def short_delays(monkeypatch):
     """Shortens the wait between attempts to open a folder."""
     monkeypatch.setattr(durable_state, "REOPEN_DELAY_S", 0.01)
+    monkeypatch.setattr(recovery, "RESTART_INTERVAL_S", 0.01)
 
 
 @asynccontextmanager
@@ -165,6 +173,66 @@
         assert not errors
 
 
+class TestFailedStep:
+    """An exception in a tick affects no other part of the instance."""
+
+    def test_member_restarts_after_its_step_raised(self, tmp_path, monkeypatch):
+        """Guards against a lost write that a later sync reports as durable."""
+
+        def fail(*arguments):
+            raise KeyError("state")
+
+        async def play():
+            async with open_instance(tmp_path / "d") as app:
+                first = app._decider
+                first.step = fail
+                app._ticker.tick()
+                hub_step = app._hub.step
+                steps = []
+                app._hub.step = lambda *arguments: (
+                    steps.append(arguments) or hub_step(*arguments)
+                )
+                app._ticker.tick()
+                return first, await member_of(app, first), steps
+
+        first, second, steps = run(play())
+        assert second.state.member_id == first.state.member_id
+        assert steps
+
+    def test_write_is_kept_if_another_message_fails(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against a write that is lost with a message before it."""
+        hard = HardState("", 7, "")
+
+        async def play():
+            async with open_instance(tmp_path / "d") as app:
+                app._decider.step = lambda *_: [
+                    Done(1, OpKind.PUT, None),
+                    Persist(1, hard),
+                    Done(2, OpKind.PUT, None),
+                ]
+                completed = []
+
+                def complete(msg):
+                    completed.append(msg.token)
+                    raise KeyError(msg.token)
+
+                app._calls.complete = complete
+                app._ticker.tick()
+                return completed[:2]
+
+        assert run(play()) == [1, 2]
+        stored = DurableState(str(tmp_path / "d"), "127.0.0.2", print)
+
+        async def reopen():
+            opened = await stored.open()
+            await stored.close()
+            return opened.recovered.hard
+
+        assert run(reopen()) == hard
+
+
 class TestStop:
     """A stopping instance leaves no thread behind."""
 
