A shutdown during a recovery leaves no open data folder

A control instance that got SIGTERM while it opened its folder could open it after the shutdown had closed it. The disk thread then kept the process alive until it was killed at the end of the grace time.

Stopping the recovery now waits for a folder that is being opened, closes it, and starts no other recovery, whatever fails later. The test failed before.

--- a/greengagemoor/serving/durable_state.py
+++ b/greengagemoor/serving/durable_state.py
@@ -98,7 +98,7 @@
                 if is_damaged:
                     await loop.run_in_executor(None, self._delete_files)
                     is_damaged = False
-                return await loop.run_in_executor(None, self._open)
+                return await self._open_in_thread()
             except (CorruptRecordError, FolderMismatchError) as exc:
                 # With its old identity the member could vote contrary to
                 # promises that it has lost; with an empty folder it joins
@@ -114,6 +114,17 @@
                 )
             await asyncio.sleep(REOPEN_DELAY_S)
 
+    async def _open_in_thread(self) -> Opened:
+        """Opens the folder; if cancelled, closes it again once it is open."""
+        loop = asyncio.get_running_loop()
+        opening = loop.run_in_executor(None, self._open)
+        try:
+            return await asyncio.shield(opening)
+        except asyncio.CancelledError:
+            await asyncio.wait([opening])
+            await self.close()
+            raise
+
     def _open(self) -> Opened:
         folder = DataFolder(self._path, self._owner)
         store = Store(folder)
--- a/greengagemoor/serving/recovery.py
+++ b/greengagemoor/serving/recovery.py
@@ -56,6 +56,7 @@
         self._start_member = start_member
         self._task: asyncio.Task | None = None
         self._started_at = float("-inf")
+        self._stopping = False
 
     @property
     def is_running(self) -> bool:
@@ -63,12 +64,13 @@
         return self._task is not None and not self._task.done()
 
     def start(self) -> None:
-        """Starts a recovery, unless one is running."""
-        if not self.is_running:
+        """Starts a recovery, unless one is running or the instance stops."""
+        if not self._stopping and not self.is_running:
             self._task = background.spawn("recover", self._run())
 
     async def stop(self) -> None:
-        """Cancels a recovery that is running."""
+        """Cancels a recovery that is running, and starts no other one."""
+        self._stopping = True
         if self._task is not None:
             self._task.cancel()
             await asyncio.wait([self._task])
--- a/tests/test_serving/test_recovery.py
+++ b/tests/test_serving/test_recovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -21,7 +22,7 @@
 from greengagemoor.serving.durable_state import DurableState
 from greengagemoor.serving.settings import ServingSettings
 from greengagemoor.storage.folder import DataFolder
-from tests.test_aio.helpers import run
+from tests.test_aio.helpers import TEST_TIMEOUT_S, run
 
 FULL_DISK = Path("/dev/full")
 """A device whose writes all fail with ENOSPC."""
@@ -34,13 +35,18 @@
     monkeypatch.setattr(recovery, "RESTART_INTERVAL_S", 0.01)
 
 
-@asynccontextmanager
-async def open_instance(path):
-    """Yields a control instance without listeners, its member running."""
+def make_app(path):
+    """Returns a control instance that has not opened its folder."""
     cfg = ServingSettings(
         "127.0.0.2", "dc1", "127.0.0.2:7740", (), data_folder=str(path)
     )
-    app = ControlApp(cfg, PlatformDialect())
+    return ControlApp(cfg, PlatformDialect())
+
+
+@asynccontextmanager
+async def open_instance(path):
+    """Yields a control instance without listeners, its member running."""
+    app = make_app(path)
     app._recovery.start()
     await member_of(app)
     yield app
@@ -245,14 +251,7 @@
         monkeypatch.setattr(DataFolder, "__init__", fail)
 
         async def play():
-            cfg = ServingSettings(
-                "127.0.0.2",
-                "dc1",
-                "127.0.0.2:7740",
-                (),
-                data_folder=str(tmp_path / "d"),
-            )
-            app = ControlApp(cfg, PlatformDialect())
+            app = make_app(tmp_path / "d")
             app._recovery.start()
             await asyncio.sleep(0.05)
             await app._recovery.stop()
@@ -264,3 +263,36 @@
         app = run(play())
         assert app._decider is None
         assert app._durable._writer is None
+
+    def test_folder_is_closed_if_stopped_while_it_is_opened(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against a disk thread that keeps a stopped process alive."""
+        opening, may_go_on = threading.Event(), threading.Event()
+        make = DataFolder.__init__
+
+        def wait(folder, *arguments):
+            opening.set()
+            may_go_on.wait(TEST_TIMEOUT_S)
+            make(folder, *arguments)
+
+        monkeypatch.setattr(DataFolder, "__init__", wait)
+
+        async def play():
+            app = make_app(tmp_path / "d")
+            app._recovery.start()
+            await asyncio.to_thread(opening.wait, TEST_TIMEOUT_S)
+            stopping = asyncio.create_task(app._recovery.stop())
+            await asyncio.sleep(0)
+            may_go_on.set()
+            await stopping
+            await app._durable.close()
+            app._restart_member()
+            return app
+
+        before = set(threading.enumerate())
+        app = run(play())
+        assert app._durable._writer is None
+        assert not app._recovery.is_running
+        started = set(threading.enumerate()) - before
+        assert "disk" not in {thread.name for thread in started}
