--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -13,13 +13,19 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from bench import mutant_list, mutants_of_connections, mutants_of_places
+from bench import (
+    mutant_list,
+    mutants_of_connections,
+    mutants_of_places,
+    mutants_of_recovery,
+)
 from bench.mutant import Mutant
 
 MUTANTS = (
     *mutant_list.MUTANTS,
     *mutants_of_places.MUTANTS,
     *mutants_of_connections.MUTANTS,
+    *mutants_of_recovery.MUTANTS,
 )
 ROOT = Path(__file__).parent.parent
 WORKERS = 3
