Responses whose head never ends are refused

Cause: the client bounded bodies only. The parser accumulates a header until it is complete, complete headers and trailers were stored without a limit, and a status line, a chunk size, a chunk extension or a series of 1xx responses that never ends kept the connection until the deadline of the request.

Why this works: each read is counted once it is parsed, and what is neither body nor the framing of a chunk may add up to 32 KB for a request, whatever the parser makes of it. Stored headers count with the memory of their objects, in the callback, so that one read of many short headers is refused as well.

--- a/greengagemoor/aio/client.py
+++ b/greengagemoor/aio/client.py
@@ -10,6 +10,7 @@
 import httptools
 
 from greengagemoor.aio import sockets
+from greengagemoor.aio.response_size import ResponseSize, ResponseTooLargeError
 from greengagemoor.util import values
 
 if TYPE_CHECKING:
@@ -19,8 +20,6 @@
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 """Idle timeout of a searcher that sends no ``Keep-Alive`` header."""
-MAX_BODY_BYTES = 4_194_304
-"""Bound on a response body."""
 Headers = Sequence[tuple[bytes, bytes]]
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -92,6 +91,7 @@
         self._done = done
         self._matches_request = matches_request
         self._received_bytes = False
+        self._sizes = ResponseSize()
         self._reset_response()
         self._complete = False
         self._keep_alive = False
@@ -103,7 +103,7 @@
         self._is_match = False
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._size = 0
+        self._sizes.clear_headers()
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; closes on bytes without a request in flight."""
@@ -113,8 +113,14 @@
         self._received_bytes = True
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._fail(f"invalid HTTP response: {type(exc).__name__}")
+            if not self._complete:
+                self._sizes.add_received(len(data))
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            ResponseTooLargeError,
+        ) as exc:
+            self._fail(_describe_error(exc))
             return
         if self._complete:
             self._finish()
@@ -131,6 +137,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores one header."""
         if not self._complete:
+            self._sizes.add_header(name, value)
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -146,13 +153,15 @@
         if self._status >= 200:
             self._is_match = self._matches_request(self._headers)
 
+    def on_chunk_header(self) -> None:
+        """Counts a chunk."""
+        self._sizes.add_chunk()
+
     def on_body(self, body: bytes) -> None:
         """Stores a piece of the body."""
         if self._complete:
             return
-        self._size += len(body)
-        if self._size > MAX_BODY_BYTES:
-            raise ValueError("response body is too large")
+        self._sizes.add_body(len(body))
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -238,6 +247,14 @@
             self.transport.abort()
 
 
+def _describe_error(exc: Exception) -> str:
+    # The parser wraps what a callback raises.
+    for cause in (exc, exc.__context__):
+        if isinstance(cause, ResponseTooLargeError):
+            return f"response too large: {cause}"
+    return f"invalid HTTP response: {type(exc).__name__}"
+
+
 def _server_idle_timeout(headers: tuple[tuple[bytes, bytes], ...]) -> float:
     for name, value in headers:
         if name.lower() == b"keep-alive":
--- /dev/null
+++ b/greengagemoor/aio/response_size.py
@@ -0,0 +1,79 @@
+"""Limits on the size of what a searcher sends in response to one request."""
+
+from __future__ import annotations
+
+MAX_BODY_BYTES = 4_194_304
+"""Bound on a response body."""
+MAX_HEAD_BYTES = 32_768
+"""Bound on all that is received for a request outside of bodies, and on the
+memory of the stored headers."""
+HEADER_OBJECT_BYTES = 160
+"""Memory of a stored header in addition to the bytes of its name and value."""
+CHUNK_FRAMING_BYTES = 16
+"""Framing of a chunk that does not count as head."""
+
+
+class ResponseTooLargeError(Exception):
+    """A limit is exceeded; the message names it."""
+
+
+class ResponseSize:
+    """Counts what is received for one request.
+
+    Only bytes that are received are counted, not complete elements: the parser
+    accumulates an incomplete header, and reports it when it is complete.
+    Responses that are skipped, and those with status 1xx, count as well.
+    """
+
+    def __init__(self):
+        self._head = 0
+        self._body = 0
+        self._expected = 0
+        self._header_memory = 0
+
+    def add_body(self, size: int) -> None:
+        """Counts a piece of a body.
+
+        Raises:
+            ResponseTooLargeError: the limit on bodies is exceeded.
+        """
+        self._body += size
+        self._expected += size
+        if self._body > MAX_BODY_BYTES:
+            raise ResponseTooLargeError(f"body exceeds {MAX_BODY_BYTES} bytes")
+
+    def add_chunk(self) -> None:
+        """Counts the header of a chunk."""
+        self._expected += CHUNK_FRAMING_BYTES
+
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Counts a header that is stored.
+
+        Raises:
+            ResponseTooLargeError: the limit on heads is exceeded.
+        """
+        self._header_memory += len(name) + len(value) + HEADER_OBJECT_BYTES
+        _check_head(self._header_memory)
+
+    def clear_headers(self) -> None:
+        """Counts the stored headers no longer; they were discarded."""
+        self._header_memory = 0
+
+    def add_received(self, size: int) -> None:
+        """Counts a read, after its bodies and chunks were counted.
+
+        Framing that short chunks did not use is not kept beyond the next read;
+        it would make room for a long trailer.
+
+        Raises:
+            ResponseTooLargeError: the limit on heads is exceeded.
+        """
+        self._head += max(0, size - self._expected)
+        unused = self._expected - size
+        self._expected = min(max(0, unused), CHUNK_FRAMING_BYTES)
+        _check_head(self._head)
+
+
+def _check_head(size: int) -> None:
+    if size > MAX_HEAD_BYTES:
+        raise ResponseTooLargeError(f"head exceeds {MAX_HEAD_BYTES} bytes")
--- /dev/null
+++ b/tests/test_aio/test_endless_input.py
@@ -0,0 +1,208 @@
+"""Input that never ends: from searchers, and from callers."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from greengagemoor.aio.client import (
+    ClientConnection,
+    HttpFailure,
+    HttpResponse,
+)
+from greengagemoor.aio.pool import Pool
+from tests.test_aio.helpers import ok, raw_server, read_head, run
+
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+READ_BYTES = 16_384
+SEND_BYTES = 8_388_608
+"""Bytes after which a script stops sending and waits."""
+MAX_HEAD_READ_BYTES = 65_536
+"""Bytes that a connection may read before it refuses a head."""
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+HEAD_FORMS = {
+    "blank lines": (b"", b"\r\n"),
+    "status line": (b"HTTP/1.1 200 ", b"a"),
+    "header name": (HEAD, b"a"),
+    "header value": (HEAD + b"A: ", b"a"),
+    "spaces before a value": (HEAD + b"A:", b" "),
+    "many headers": (HEAD, b"A: b\r\n"),
+    "many empty headers": (HEAD, b"a:\r\n"),
+    "1xx responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "1xx responses with headers": (b"", b"HTTP/1.1 103 E\r\nA: b\r\n\r\n"),
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"1;a=", b"a"),
+    "trailer value": (CHUNKED + b"0\r\nA: ", b"a"),
+    "many trailers": (CHUNKED + b"0\r\n", b"A: b\r\n"),
+}
+"""First bytes and repeated bytes of input without a response body."""
+
+
+class FakeTransport:
+    """Records whether the connection was aborted."""
+
+    def __init__(self):
+        self.aborted = False
+
+    def get_extra_info(self, name):
+        return None
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        self.aborted = True
+
+
+def connect(pool, done, matches_request=lambda _: True):
+    """Returns a connection with a request in flight."""
+    conn = ClientConnection(pool, "127.0.0.1:1")
+    conn.connection_made(FakeTransport())
+    conn.send(GET, done, matches_request)
+    return conn
+
+
+def pieces(repeated):
+    """Returns reads of about ``READ_BYTES`` for ``SEND_BYTES`` in all."""
+    read = repeated * (READ_BYTES // len(repeated))
+    return [read] * (SEND_BYTES // len(read))
+
+
+def feed_until_closed(first, repeated, matches_request=lambda _: True):
+    """Feeds endless input to one connection.
+
+    Returns:
+        The bytes read until the connection was closed, and the failures.
+    """
+
+    async def main():
+        ends = []
+        conn = connect(Pool(), ends.append, matches_request)
+        read_bytes = 0
+        for read in [first, *pieces(repeated)]:
+            if conn.transport.aborted:
+                break
+            if read:
+                read_bytes += len(read)
+                conn.data_received(read)
+        return read_bytes, ends
+
+    return run(main())
+
+
+async def ask(pool, address):
+    """Sends one request and returns the response or failure."""
+    fut = asyncio.get_running_loop().create_future()
+    pool.send(address, GET, fut.set_result, lambda _: True)
+    return await fut
+
+
+class TestHeads:
+    """Input that never gets to a body."""
+
+    @pytest.mark.parametrize("form", HEAD_FORMS)
+    def test_is_refused_within_the_limit(self, form):
+        """Guards against heads that the parser accumulates without a limit."""
+        read_bytes, ends = feed_until_closed(*HEAD_FORMS[form])
+        assert read_bytes <= MAX_HEAD_READ_BYTES
+        (end,) = ends
+        assert isinstance(end, HttpFailure)
+        assert end.sent
+        assert end.response_began
+        assert not end.stale
+        assert end.reason == "response too large: head exceeds 32768 bytes"
+
+    def test_trailer_after_small_chunks(self):
+        """The framing of chunks makes no room for a trailer."""
+        first = CHUNKED + b"1\r\nr\r\n" * 20_000 + b"0\r\nA: "
+        read_bytes, ends = feed_until_closed(first, b"a")
+        assert read_bytes <= len(first) + MAX_HEAD_READ_BYTES
+        assert ends[0].reason.startswith("response too large: head")
+
+    def test_one_large_read(self):
+        """Guards against storing each of the headers of one read."""
+        read_bytes, ends = feed_until_closed(HEAD + b"a:\r\n" * 60_000, b"a")
+        assert read_bytes <= 262_144
+        assert ends[0].reason.startswith("response too large: head")
+
+    @pytest.mark.parametrize("form", HEAD_FORMS)
+    def test_server_sees_the_connection_close(self, form):
+        closed = asyncio.Event()
+        first, repeated = HEAD_FORMS[form]
+
+        async def script(reader, writer):
+            await read_head(reader)
+            try:
+                writer.write(first)
+                for read in pieces(repeated):
+                    writer.write(read)
+                    await writer.drain()
+                assert await reader.read() == b""
+            finally:
+                closed.set()
+
+        async def main():
+            async with raw_server(script) as address:
+                end = await ask(Pool(), address)
+                await closed.wait()
+                return end
+
+        assert run(main()).reason.startswith("response too large: head")
+
+
+class TestOrdinaryResponses:
+    """Responses within the limits are delivered unchanged."""
+
+    @pytest.mark.parametrize("chunk_size", [1, 2, 16, 4096])
+    def test_small_chunks(self, chunk_size):
+        """The framing of many small chunks is not taken for a head."""
+        body = b"r" * 49_152
+        chunk = b"%x\r\n%s\r\n" % (chunk_size, b"r" * chunk_size)
+        data = CHUNKED + chunk * (len(body) // chunk_size) + b"0\r\n\r\n"
+
+        async def main():
+            ends = []
+            conn = connect(Pool(), ends.append)
+            for start in range(0, len(data), READ_BYTES):
+                conn.data_received(data[start : start + READ_BYTES])
+            return ends
+
+        (answer,) = run(main())
+        assert isinstance(answer, HttpResponse)
+        assert answer.body == body
+
+    def test_small_reads_of_small_chunks(self):
+        """A chunk whose parts arrive in several reads is no head either."""
+
+        async def main():
+            ends = []
+            conn = connect(Pool(), ends.append)
+            conn.data_received(CHUNKED)
+            for _ in range(20_000):
+                conn.data_received(b"1\r\n")
+                conn.data_received(b"r\r\n")
+            conn.data_received(b"0\r\n\r\n")
+            return ends
+
+        (answer,) = run(main())
+        assert answer.body == b"r" * 20_000
+
+    def test_head_with_many_headers_after_interim_responses(self):
+        interim = b"HTTP/1.1 103 Early\r\nLink: a\r\n\r\n" * 8
+        headers = [b"Name-%d: %s" % (i, b"v" * 60) for i in range(40)]
+
+        async def main():
+            ends = []
+            conn = connect(Pool(), ends.append)
+            conn.data_received(interim + ok(b"x" * 60_000, *headers))
+            return ends
+
+        (answer,) = run(main())
+        assert len(answer.headers) == 41
+        assert len(answer.body) == 60_000
