Bodies in very many chunks use the memory of their bytes, and end

Callers saw: an entry that used gigabytes and stood still for seconds, although no body exceeded its limit.

Cause: each chunk was stored as an object. A chunk of two bytes used about 44 bytes of memory, and the limit of 4 MB allows two million of them, each with three callbacks of the parser.

Why this works: a body is stored in one byte array, and a request accepts at most 65,536 chunks. The limit leaves room for 64 KB in chunks of one byte.

--- a/greengagemoor/aio/client.py
+++ b/greengagemoor/aio/client.py
@@ -102,7 +102,7 @@
         self._status = 0
         self._is_match = False
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._sizes.clear_headers()
 
     def data_received(self, data: bytes) -> None:
@@ -155,14 +155,15 @@
 
     def on_chunk_header(self) -> None:
         """Counts a chunk."""
-        self._sizes.add_chunk()
+        if not self._complete:
+            self._sizes.add_chunk()
 
     def on_body(self, body: bytes) -> None:
         """Stores a piece of the body."""
         if self._complete:
             return
         self._sizes.add_body(len(body))
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Completes the response, or skips one to another request."""
@@ -197,7 +198,7 @@
         return HttpResponse(
             self._status,
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             closes=not self._keep_alive,
         )
 
--- a/greengagemoor/aio/response_size.py
+++ b/greengagemoor/aio/response_size.py
@@ -9,6 +9,7 @@
 memory of the stored headers."""
 HEADER_OBJECT_BYTES = 160
 """Memory of a stored header in addition to the bytes of its name and value."""
+MAX_CHUNKS = 65_536
 CHUNK_FRAMING_BYTES = 16
 """Framing of a chunk that does not count as head."""
 
@@ -28,6 +29,7 @@
     def __init__(self):
         self._head = 0
         self._body = 0
+        self._chunks = 0
         self._expected = 0
         self._header_memory = 0
 
@@ -43,7 +45,14 @@
             raise ResponseTooLargeError(f"body exceeds {MAX_BODY_BYTES} bytes")
 
     def add_chunk(self) -> None:
-        """Counts the header of a chunk."""
+        """Counts the header of a chunk.
+
+        Raises:
+            ResponseTooLargeError: the limit on chunks is exceeded.
+        """
+        self._chunks += 1
+        if self._chunks > MAX_CHUNKS:
+            raise ResponseTooLargeError(f"more than {MAX_CHUNKS} chunks")
         self._expected += CHUNK_FRAMING_BYTES
 
     def add_header(self, name: bytes, value: bytes) -> None:
--- a/tests/test_aio/test_endless_input.py
+++ b/tests/test_aio/test_endless_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 
 import pytest
 
@@ -156,6 +157,33 @@
         assert run(main()).reason.startswith("response too large: head")
 
 
+class TestBodies:
+    """Bodies of any framing."""
+
+    def test_number_of_chunks(self):
+        """Guards against seconds of processor time for one small body."""
+        read_bytes, ends = feed_until_closed(CHUNKED, b"1\r\nr\r\n")
+        assert read_bytes <= 6 * 65_536 + 2 * READ_BYTES
+        assert ends[0].reason == "response too large: more than 65536 chunks"
+
+    def test_memory_of_small_chunks(self):
+        """Guards against an object for each chunk of two bytes."""
+        body_bytes = 131_072
+        read = b"2\r\nrr\r\n" * 2048
+
+        async def main():
+            conn = connect(Pool(), lambda _: None)
+            conn.data_received(CHUNKED)
+            tracemalloc.start()
+            for _ in range(body_bytes // 4096):
+                conn.data_received(read)
+            used_bytes, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            return used_bytes
+
+        assert run(main()) < 2 * body_bytes
+
+
 class TestOrdinaryResponses:
     """Responses within the limits are delivered unchanged."""
 
