Bodies that no caller will get are neither awaited nor stored

Callers saw: a request that waited for 4 MB of a body before it went elsewhere, and entries that stored bodies of responses to other requests.

Cause: a declared length was not compared with the limit, so the response failed only once the limit was received; the body of a response that is skipped was stored until its end; each skipped response had the whole limit anew.

Why this works: the length is checked with the head, except for statuses without a body, and only a response to the request in flight is stored.

--- a/greengagemoor/aio/client.py
+++ b/greengagemoor/aio/client.py
@@ -20,6 +20,7 @@
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 """Idle timeout of a searcher that sends no ``Keep-Alive`` header."""
+BODILESS_STATUSES = {204, 304}
 Headers = Sequence[tuple[bytes, bytes]]
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -150,8 +151,11 @@
             return
         self._status = self._parser.get_status_code()
         # A final response follows one with status 1xx.
-        if self._status >= 200:
-            self._is_match = self._matches_request(self._headers)
+        if self._status < 200:
+            return
+        self._is_match = self._matches_request(self._headers)
+        if self._status not in BODILESS_STATUSES:
+            self._sizes.check_length(self._headers)
 
     def on_chunk_header(self) -> None:
         """Counts a chunk."""
@@ -159,11 +163,12 @@
             self._sizes.add_chunk()
 
     def on_body(self, body: bytes) -> None:
-        """Stores a piece of the body."""
+        """Stores a piece of the body, unless the response is skipped."""
         if self._complete:
             return
         self._sizes.add_body(len(body))
-        self._body += body
+        if self._is_match:
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Completes the response, or skips one to another request."""
--- a/greengagemoor/aio/response_size.py
+++ b/greengagemoor/aio/response_size.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 MAX_BODY_BYTES = 4_194_304
 """Bound on a response body."""
 MAX_HEAD_BYTES = 32_768
@@ -33,6 +38,16 @@
         self._expected = 0
         self._header_memory = 0
 
+    def check_length(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        """Checks the ``Content-Length`` of a response with a body.
+
+        Raises:
+            ResponseTooLargeError: it exceeds the limit on bodies.
+        """
+        for name, value in headers:
+            if name.lower() == b"content-length":
+                _check_body(int(value))
+
     def add_body(self, size: int) -> None:
         """Counts a piece of a body.
 
@@ -41,8 +56,7 @@
         """
         self._body += size
         self._expected += size
-        if self._body > MAX_BODY_BYTES:
-            raise ResponseTooLargeError(f"body exceeds {MAX_BODY_BYTES} bytes")
+        _check_body(self._body)
 
     def add_chunk(self) -> None:
         """Counts the header of a chunk.
@@ -83,6 +97,11 @@
         _check_head(self._head)
 
 
+def _check_body(size: int) -> None:
+    if size > MAX_BODY_BYTES:
+        raise ResponseTooLargeError(f"body exceeds {MAX_BODY_BYTES} bytes")
+
+
 def _check_head(size: int) -> None:
     if size > MAX_HEAD_BYTES:
         raise ResponseTooLargeError(f"head exceeds {MAX_HEAD_BYTES} bytes")
--- a/tests/test_aio/test_endless_input.py
+++ b/tests/test_aio/test_endless_input.py
@@ -41,6 +41,11 @@
 }
 """First bytes and repeated bytes of input without a response body."""
 
+BODY_FORMS = {
+    "large chunk": CHUNKED + b"fffffff\r\n",
+    "ends with the connection": HEAD + b"\r\n",
+}
+
 
 class FakeTransport:
     """Records whether the connection was aborted."""
@@ -166,6 +171,63 @@
         assert read_bytes <= 6 * 65_536 + 2 * READ_BYTES
         assert ends[0].reason == "response too large: more than 65536 chunks"
 
+    @pytest.mark.parametrize("match", [True, False])
+    def test_declared_length_over_the_limit(self, match):
+        """The head alone is enough to refuse the response."""
+        first = HEAD + b"Content-Length: 4194305\r\n\r\n"
+        read_bytes, ends = feed_until_closed(first, b"r", lambda _: match)
+        assert read_bytes == len(first)
+        assert (
+            ends[0].reason == "response too large: body exceeds 4194304 bytes"
+        )
+
+    @pytest.mark.parametrize("form", BODY_FORMS)
+    def test_body_that_never_ends(self, form):
+        read_bytes, ends = feed_until_closed(BODY_FORMS[form], b"r")
+        assert read_bytes <= 4_194_304 + 2 * READ_BYTES
+        assert (
+            ends[0].reason == "response too large: body exceeds 4194304 bytes"
+        )
+
+    def test_responses_to_other_requests(self):
+        """Guards against a series of complete responses without end."""
+        read_bytes, ends = feed_until_closed(
+            b"", ok(b"r" * 4000), lambda _: False
+        )
+        assert read_bytes <= 4_194_304 + MAX_HEAD_READ_BYTES
+        assert ends[0].reason.startswith("response too large: ")
+
+    def test_memory_of_a_skipped_response(self):
+        """The body of a response to another request is not stored."""
+
+        async def main():
+            conn = connect(Pool(), lambda _: None, lambda _: False)
+            conn.data_received(HEAD + b"Content-Length: 4000000\r\n\r\n")
+            tracemalloc.start()
+            for _ in range(128):
+                conn.data_received(b"r" * READ_BYTES)
+            used_bytes, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            return used_bytes
+
+        assert run(main()) < READ_BYTES
+
+    def test_large_duplicate_is_skipped(self):
+        """A duplicate response within the limits fails no request."""
+
+        async def main():
+            ends = []
+            conn = connect(
+                Pool(), ends.append, lambda headers: (b"Id", b"new") in headers
+            )
+            data = ok(b"x" * 60_000, b"Id: old") + ok(b"right", b"Id: new")
+            for start in range(0, len(data), READ_BYTES):
+                conn.data_received(data[start : start + READ_BYTES])
+            return ends
+
+        (answer,) = run(main())
+        assert answer.body == b"right"
+
     def test_memory_of_small_chunks(self):
         """Guards against an object for each chunk of two bytes."""
         body_bytes = 131_072
