Incomplete responses of all searchers share one bound on memory

Callers saw: entries killed for their memory while several searchers sent bodies that never end, though each stayed within the limit of one body.

Cause: the limit of 4 MB held for each connection, and nothing bounded the sum. Idle and closed connections also kept the last response, since it was only replaced by the next send.

Evidence: 120 connections held 180 MB of bodies, 1200 held 36 MB of heads, and a connection that was idle, cancelled or lost kept the megabyte that it had received.

Why this works: the pool adds up what incomplete responses use, after each read. Above 32 MB the largest one is refused; ordinary responses have some tens of kilobytes, so that they are delivered beside any number of endless ones. One read of at most 256 KB may exceed the bound until it is counted. A response that arrives in one read is not counted at all. The buffers and the parser are freed when the request ends.

--- a/greengagemoor/aio/client.py
+++ b/greengagemoor/aio/client.py
@@ -121,7 +121,11 @@
             httptools.HttpParserUpgrade,
             ResponseTooLargeError,
         ) as exc:
-            self._fail(_describe_error(exc))
+            limit = _exceeded_limit(exc)
+            if limit:
+                self.fail_too_large(limit)
+            else:
+                self._fail(f"invalid HTTP response: {type(exc).__name__}")
             return
         if self._complete:
             self._finish()
@@ -129,6 +133,8 @@
             # Nothing that follows on this connection can be the response.
             self._pool.skipped_count += 1
             self._fail("response without a length to another request")
+        else:
+            self._pool.buffers.update(self, self._sizes.memory)
 
     def on_message_begin(self) -> None:
         """Rules out reuse if a second response follows the complete one."""
@@ -166,7 +172,7 @@
         """Stores a piece of the body, unless the response is skipped."""
         if self._complete:
             return
-        self._sizes.add_body(len(body))
+        self._sizes.add_body(len(body), stored=self._is_match)
         if self._is_match:
             self._body += body
 
@@ -187,6 +193,7 @@
     def _finish(self) -> None:
         done, self._done = self._done, None
         answer = self._build_answer()
+        self._free_response()
         reuse = not answer.closes and not self._must_close
         if reuse and self.transport.get_write_buffer_size():
             # The searcher answered before it read the complete request; it
@@ -218,6 +225,12 @@
             self._finish()
         return False
 
+    def _free_response(self) -> None:
+        self._pool.buffers.discard(self)
+        self._parser = None
+        self._headers = []
+        self._body = bytearray()
+
     def _ends_with_connection(self) -> bool:
         """Whether a response without a length is being received."""
         if self._status < 200 or self._complete:
@@ -232,6 +245,11 @@
         self._pool.discard_connection(self)
         self._fail(str(exc or "closed"))
 
+    def fail_too_large(self, limit: str) -> None:
+        """Fails the request in flight, as its response exceeds a limit."""
+        self._pool.too_large_count += 1
+        self._fail(f"response too large: {limit}")
+
     def _fail(self, reason: str) -> None:
         done, self._done = self._done, None
         stale = self._was_used and not self._received_bytes
@@ -249,16 +267,17 @@
         """Closes the connection at once."""
         self._must_close = True
         self._pool.discard_connection(self)
+        self._free_response()
         if self.transport is not None:
             self.transport.abort()
 
 
-def _describe_error(exc: Exception) -> str:
+def _exceeded_limit(exc: Exception) -> str:
     # The parser wraps what a callback raises.
     for cause in (exc, exc.__context__):
         if isinstance(cause, ResponseTooLargeError):
-            return f"response too large: {cause}"
-    return f"invalid HTTP response: {type(exc).__name__}"
+            return str(cause)
+    return ""
 
 
 def _server_idle_timeout(headers: tuple[tuple[bytes, bytes], ...]) -> float:
--- a/greengagemoor/aio/pool.py
+++ b/greengagemoor/aio/pool.py
@@ -12,6 +12,7 @@
     HttpFailure,
     HttpResponse,
 )
+from greengagemoor.aio.receive_buffers import ReceiveBuffers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,6 +32,8 @@
         opened_count: connections opened, probes included.
         skipped_count: responses skipped because they belong to another request.
         ended_by_close_count: responses completed by the end of the connection.
+        too_large_count: responses refused because they exceed a limit.
+        buffers: sizes of the incomplete responses.
     """
 
     def __init__(self):
@@ -39,6 +42,8 @@
         self.opened_count = 0
         self.skipped_count = 0
         self.ended_by_close_count = 0
+        self.too_large_count = 0
+        self.buffers = ReceiveBuffers()
         self._probes: set[asyncio.Task] = set()
 
     def send(
--- a/greengagemoor/aio/response_size.py
+++ b/greengagemoor/aio/response_size.py
@@ -34,10 +34,16 @@
     def __init__(self):
         self._head = 0
         self._body = 0
+        self._stored_body = 0
         self._chunks = 0
         self._expected = 0
         self._header_memory = 0
 
+    @property
+    def memory(self) -> int:
+        """Bytes of memory that the response uses, and at most the parser."""
+        return self._stored_body + self._header_memory + self._head
+
     def check_length(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
         """Checks the ``Content-Length`` of a response with a body.
 
@@ -48,14 +54,20 @@
             if name.lower() == b"content-length":
                 _check_body(int(value))
 
-    def add_body(self, size: int) -> None:
+    def add_body(self, size: int, *, stored: bool) -> None:
         """Counts a piece of a body.
 
+        Args:
+            size: in bytes.
+            stored: whether it is kept in memory.
+
         Raises:
             ResponseTooLargeError: the limit on bodies is exceeded.
         """
         self._body += size
         self._expected += size
+        if stored:
+            self._stored_body += size
         _check_body(self._body)
 
     def add_chunk(self) -> None:
--- a/tests/test_aio/test_endless_input.py
+++ b/tests/test_aio/test_endless_input.py
@@ -246,6 +246,114 @@
         assert run(main()) < 2 * body_bytes
 
 
+class TestManyConnections:
+    """Incomplete responses on many connections at once."""
+
+    @pytest.mark.parametrize(
+        ("first", "count"),
+        [
+            (HEAD + b"Content-Length: 4000000\r\n\r\n", 120),
+            (HEAD + b"\r\n", 120),
+            (HEAD + b"A: ", 1200),
+        ],
+    )
+    def test_sum_is_bounded(self, first, count):
+        """Guards against memory that grows with the number of connections."""
+
+        async def main():
+            pool = Pool()
+            ends = []
+            read_by_conn = {connect(pool, ends.append): 0 for _ in range(count)}
+            most_bytes = 0
+            for data in [first, *[b"r" * 15_000] * 100]:
+                for conn in read_by_conn:
+                    if not conn.transport.aborted:
+                        read_by_conn[conn] += len(data)
+                        conn.data_received(data)
+                open_bytes = sum(
+                    size
+                    for conn, size in read_by_conn.items()
+                    if not conn.transport.aborted
+                )
+                most_bytes = max(most_bytes, open_bytes)
+            return most_bytes, ends, pool.too_large_count
+
+        most_bytes, ends, too_large_count = run(main())
+        assert most_bytes <= 33_554_432 + READ_BYTES
+        assert too_large_count == len(ends) > 0
+        assert "response too large: 33554432 bytes in all responses" in {
+            end.reason for end in ends
+        }
+
+    def test_largest_response_is_refused(self):
+        """Ordinary responses are delivered while others fill the buffers."""
+
+        async def main():
+            pool = Pool()
+            ends, failed = [], []
+            conn = connect(pool, ends.append)
+            data = ok(b"r" * 60_000)
+            conn.data_received(data[:READ_BYTES])
+            for _ in range(20):
+                other = connect(pool, failed.append)
+                other.data_received(HEAD + b"Content-Length: 4000000\r\n\r\n")
+                for _ in range(200):
+                    other.data_received(b"r" * READ_BYTES)
+                    if other.transport.aborted:
+                        break
+            conn.data_received(data[READ_BYTES:])
+            return ends, failed
+
+        (answer,), failed = run(main())
+        assert len(answer.body) == 60_000
+        assert 10 <= len(failed) < 20
+
+    def test_ended_requests_leave_no_bytes(self):
+        """Responses, failures and cancelled requests free their share."""
+
+        async def main():
+            pool = Pool()
+            first = HEAD + b"Content-Length: 30000\r\n\r\n" + b"r" * 20_000
+            conns = [connect(pool, lambda _: None) for _ in range(3)]
+            for conn in conns:
+                conn.data_received(first)
+            before = pool.buffers.size
+            conns[0].data_received(b"r" * 10_000)
+            conns[1].cancel()
+            conns[2].connection_lost(None)
+            return before, pool.buffers.size
+
+        before, after = run(main())
+        assert before >= 60_000
+        assert after == 0
+
+    @pytest.mark.parametrize("end", ["answered", "cancelled", "lost"])
+    def test_memory_after_the_end(self, end):
+        """Guards against idle connections that keep their last response."""
+        size = 1_000_000
+        data = HEAD + b"Content-Length: %d\r\n\r\n" % size
+
+        async def main():
+            conn = connect(Pool(), lambda _: None)
+            tracemalloc.start()
+            conn.data_received(data)
+            for _ in range(size // 10_000 - 1):
+                conn.data_received(b"r" * 10_000)
+            if end == "answered":
+                conn.data_received(b"r" * 10_000)
+            elif end == "cancelled":
+                conn.cancel()
+            else:
+                conn.connection_lost(None)
+            used_bytes, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            return used_bytes, conn.transport.aborted
+
+        used_bytes, aborted = run(main())
+        assert used_bytes < size / 10
+        assert aborted == (end != "answered")
+
+
 class TestOrdinaryResponses:
     """Responses within the limits are delivered unchanged."""
 
