Operators see refused responses, and which searcher sent them

The failure of the send already stood in the step line of its request, as "broken: response too large: head exceeds 32768 bytes" beside the searcher, but nothing counted it, and an operator had to know which request to look at.

searcher_responses_too_large_total counts the refused responses, and searcher_response_buffer_bytes shows what incomplete ones use.

The test asks an entry while the first of its two searchers sends a head without end: the other answers the request, the step line names the first with the reason, and the gauges are 1 and 0.

--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -329,6 +329,8 @@
             "searcher_responses_ended_by_close_total": (
                 self._pool.ended_by_close_count
             ),
+            "searcher_responses_too_large_total": self._pool.too_large_count,
+            "searcher_response_buffer_bytes": self._pool.buffers.size,
             "caller_connections": len(self._callers.conns),
             "tick_failures_total": self._ticker.failures,
             "task_failures_total": background.failures(),
--- a/tests/test_serving/test_entry.py
+++ b/tests/test_serving/test_entry.py
@@ -1,8 +1,9 @@
-"""Shutdown of an entry on the event loop."""
+"""An entry on the event loop: its shutdown, and endless responses."""
 
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
 from greengagemoor.aio import sockets
 from greengagemoor.aio.connection import HttpConnection
@@ -14,12 +15,15 @@
 from greengagemoor.platform.dialect import PlatformDialect
 from greengagemoor.routing.routes import RouteTable, ServiceRules
 from greengagemoor.serving import entry as entry_module
+from greengagemoor.serving import request_log
 from greengagemoor.serving.entry import EntryApp
 from greengagemoor.serving.settings import ServingSettings
-from tests.test_aio.helpers import raw_server, read_head, run
+from tests.test_aio.helpers import ok, raw_server, read_head, run
 from tests.test_forward.helpers import single
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+SEED = 1
+"""With it the random part of the first allowance permits a second send."""
 ANSWER_S = 0.05
 READ_S = 0.001
 READ_TIMEOUT_S = 2.0
@@ -147,6 +151,78 @@
     return asyncio.run(main())
 
 
+def ask_beside_an_endless_response(monkeypatch):
+    """Sends a request whose first searcher sends a head without end.
+
+    Returns:
+        The first line of the answer, the steps in the log, the searcher that
+        sent without end, and the entry's gauges.
+    """
+    steps = []
+    asked = []
+
+    def record(event, **fields):
+        if event == "step":
+            steps.append(fields)
+
+    monkeypatch.setattr(request_log.log, "event", record)
+
+    async def answer(name, reader, writer):
+        await read_head(reader)
+        asked.append(name)
+        if len(asked) > 1:
+            writer.write(ok(b"right", b"Server-Stamp: s"))
+        else:
+            writer.write(b"HTTP/1.1 200 OK\r\nA: " + b"a" * 1_000_000)
+        await reader.read()
+
+    async def main():
+        app = make_entry(seed=SEED)
+        app._view._confirmed_at = app.clock.now()
+        app._view.number = 1
+        rules = {"s0": ServiceRules("s0", 40)}
+        app._route_table = RouteTable(1, (single(prefix="/"),), rules, None)
+        app._decider.set_routes(app._route_table)
+        listener = sockets.listen("127.0.0.1:0")
+        await app._callers.start(listener)
+        async with (
+            raw_server(partial(answer, "i1")) as first,
+            raw_server(partial(answer, "i2")) as second,
+        ):
+            for name, address in (("i1", first), ("i2", second)):
+                row = SearcherRow(
+                    name, "s0", address, "dc1", SearcherState.READY, 1, 5, 0.0
+                )
+                app._ticker.put(SearcherUpdated(row))
+            reader, writer = await asyncio.open_connection(
+                *listener.getsockname()
+            )
+            writer.write(REQUEST)
+            line = await reader.readline()
+            writer.close()
+            return line, steps, asked[0], app._gauges()
+
+    return run(main())
+
+
+class TestEndlessResponse:
+    """A searcher that sends without end."""
+
+    def test_request_goes_elsewhere_and_the_log_names_the_searcher(
+        self, monkeypatch
+    ):
+        line, steps, faulty, gauges = ask_beside_an_endless_response(
+            monkeypatch
+        )
+        assert line.startswith(b"HTTP/1.1 200")
+        assert (
+            faulty,
+            "broken: response too large: head exceeds 32768 bytes",
+        ) in [(step["searcher"], step["note"]) for step in steps]
+        assert gauges["searcher_responses_too_large_total"] == 1
+        assert gauges["searcher_response_buffer_bytes"] == 0
+
+
 class TestStop:
     """An entry that stops aborts no request.
 
