A caller's head that never ends is refused by its raw bytes

Callers saw: entries that grew by what a connection sent until the header timeout of 5 s, or that were killed for it.

Cause: the limit on headers was applied to complete headers and to the target. The parser accumulates the name or the value of a header until it is complete. Blank lines, spaces, chunk sizes and chunk extensions were never counted.

Why this works: what is neither body nor the framing of chunks is counted as it is received, as for searchers (the count is shared), up to the limit plus 64 bytes for the request line; the answer is 431, as before. A read is parsed 16 KB at a time. Of a piece in which a request ends, the head of the next one is not counted, so that a connection keeps at most 16 KB beyond the limit.

A caller that is still sending sees a reset rather than the 431, as with the other rejections.

--- a/greengagemoor/aio/connection.py
+++ b/greengagemoor/aio/connection.py
@@ -10,6 +10,7 @@
 import httptools
 
 from greengagemoor.aio import sockets
+from greengagemoor.aio.head_size import HeadSize
 from greengagemoor.aio.requests import Handler, HttpRequest, Limits
 
 if TYPE_CHECKING:
@@ -17,6 +18,11 @@
 
 MAX_PIPELINED = 16
 """Requests queued on a connection before reading pauses."""
+PARSED_BYTES = 16_384
+"""Bytes parsed at a time: of a read in which a request ends, the head of the
+next one is not counted."""
+REQUEST_LINE_BYTES = 64
+"""Bytes of the request line that the limit on headers does not include."""
 TIMEOUT_CHECK_S = 0.5
 """Interval at which a connection checks its timeouts."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -39,8 +45,8 @@
         self._transport: asyncio.Transport | None = None
         self._queue: deque[HttpRequest] = deque()
         self._current: HttpRequest | None = None
-        self._header_size = 0
-        self._body_size = 0
+        self._raw_head = HeadSize()
+        self._request_ended = False
         self._started_at: float | None = None
         self._idle_since = self._loop.time()
         self._keep_alive: deque[bool] = deque()
@@ -73,12 +79,18 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; rejects what it can't parse."""
-        if self._input_rejected or self._closing:
-            return
+        for start in range(0, len(data), PARSED_BYTES):
+            if self._input_rejected or self._closing:
+                return
+            self._parse(data[start : start + PARSED_BYTES])
+
+    def _parse(self, data: bytes) -> None:
         if self._started_at is None:
             self._started_at = self._loop.time()
+        self._request_ended = False
         try:
             self._parser.feed_data(data)
+            self._count_raw_head(len(data))
         except _TooLargeError as exc:
             self._reject(exc.status)
         except httptools.HttpParserUpgrade:
@@ -88,6 +100,15 @@
             too_large = isinstance(cause, _TooLargeError)
             self._reject(cause.status if too_large else 400)
 
+    def _count_raw_head(self, size: int) -> None:
+        if self._request_ended:
+            self._raw_head = HeadSize()
+            return
+        self._raw_head.add_received(size)
+        limit = self._limits.header_bytes + REQUEST_LINE_BYTES
+        if self._raw_head.size > limit:
+            raise _TooLargeError(431)
+
     # Parser callbacks.
 
     def _reset_message(self) -> None:
@@ -129,9 +150,14 @@
             ):
                 raise _TooLargeError(413)
 
+    def on_chunk_header(self) -> None:
+        """Counts a chunk."""
+        self._raw_head.add_chunk()
+
     def on_body(self, body: bytes) -> None:
         """Stores a piece of the body."""
         self._body_size += len(body)
+        self._raw_head.add_body(len(body))
         if self._body_size > self._limits.body_bytes:
             raise _TooLargeError(413)
         self._body.append(body)
@@ -147,6 +173,7 @@
             conn=self,
         )
         self._started_at = None
+        self._request_ended = True
         req.is_first = not self._request_count
         self._request_count += 1
         self._keep_alive.append(self._parser.should_keep_alive())
--- a/greengagemoor/aio/response_size.py
+++ b/greengagemoor/aio/response_size.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from greengagemoor.aio.head_size import HeadSize
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -15,8 +17,6 @@
 HEADER_OBJECT_BYTES = 160
 """Memory of a stored header in addition to the bytes of its name and value."""
 MAX_CHUNKS = 65_536
-CHUNK_FRAMING_BYTES = 16
-"""Framing of a chunk that does not count as head."""
 
 
 class ResponseTooLargeError(Exception):
@@ -26,23 +26,20 @@
 class ResponseSize:
     """Counts what is received for one request.
 
-    Only bytes that are received are counted, not complete elements: the parser
-    accumulates an incomplete header, and reports it when it is complete.
     Responses that are skipped, and those with status 1xx, count as well.
     """
 
     def __init__(self):
-        self._head = 0
+        self._head = HeadSize()
         self._body = 0
         self._stored_body = 0
         self._chunks = 0
-        self._expected = 0
         self._header_memory = 0
 
     @property
     def memory(self) -> int:
         """Bytes of memory that the response uses, and at most the parser."""
-        return self._stored_body + self._header_memory + self._head
+        return self._stored_body + self._header_memory + self._head.size
 
     def check_length(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
         """Checks the ``Content-Length`` of a response with a body.
@@ -65,7 +62,7 @@
             ResponseTooLargeError: the limit on bodies is exceeded.
         """
         self._body += size
-        self._expected += size
+        self._head.add_body(size)
         if stored:
             self._stored_body += size
         _check_body(self._body)
@@ -79,7 +76,7 @@
         self._chunks += 1
         if self._chunks > MAX_CHUNKS:
             raise ResponseTooLargeError(f"more than {MAX_CHUNKS} chunks")
-        self._expected += CHUNK_FRAMING_BYTES
+        self._head.add_chunk()
 
     def add_header(self, name: bytes, value: bytes) -> None:
         """Counts a header that is stored.
@@ -97,16 +94,11 @@
     def add_received(self, size: int) -> None:
         """Counts a read, after its bodies and chunks were counted.
 
-        Framing that short chunks did not use is not kept beyond the next read;
-        it would make room for a long trailer.
-
         Raises:
             ResponseTooLargeError: the limit on heads is exceeded.
         """
-        self._head += max(0, size - self._expected)
-        unused = self._expected - size
-        self._expected = min(max(0, unused), CHUNK_FRAMING_BYTES)
-        _check_head(self._head)
+        self._head.add_received(size)
+        _check_head(self._head.size)
 
 
 def _check_body(size: int) -> None:
--- a/tests/test_aio/test_endless_input.py
+++ b/tests/test_aio/test_endless_input.py
@@ -12,7 +12,9 @@
     HttpFailure,
     HttpResponse,
 )
+from greengagemoor.aio.connection import HttpConnection
 from greengagemoor.aio.pool import Pool
+from greengagemoor.aio.requests import Limits
 from tests.test_aio.helpers import ok, raw_server, read_head, run
 
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -47,11 +49,35 @@
 }
 
 
+LINE = b"POST / HTTP/1.1\r\n"
+CHUNKED_REQUEST = LINE + b"Host: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+REQUEST_FORMS = {
+    "blank lines": (b"", b"\r\n"),
+    "target": (b"GET /", b"a"),
+    "header name": (LINE, b"a"),
+    "header value": (LINE + b"A: ", b"a"),
+    "spaces before a value": (LINE + b"A:", b" "),
+    "many headers": (LINE, b"A: b\r\n"),
+    "chunk size": (CHUNKED_REQUEST, b"0"),
+    "chunk extension": (CHUNKED_REQUEST + b"1;a=", b"a"),
+    "trailer value": (CHUNKED_REQUEST + b"0\r\nA: ", b"a"),
+    "many trailers": (CHUNKED_REQUEST + b"0\r\n", b"A: b\r\n"),
+}
+
+
 class FakeTransport:
-    """Records whether the connection was aborted."""
+    """Records what is written and whether the connection was closed."""
 
     def __init__(self):
         self.aborted = False
+        self.closed = False
+        self.written = b""
+
+    def resume_reading(self):
+        pass
+
+    def pause_reading(self):
+        pass
 
     def get_extra_info(self, name):
         return None
@@ -60,7 +86,10 @@
         return 0
 
     def write(self, data):
-        pass
+        self.written += data
+
+    def close(self):
+        self.closed = True
 
     def abort(self):
         self.aborted = True
@@ -404,3 +433,91 @@
         (answer,) = run(main())
         assert len(answer.headers) == 41
         assert len(answer.body) == 60_000
+
+
+class Recorder:
+    """Records requests and replies to each."""
+
+    def __init__(self):
+        self.reqs = []
+
+    def handle_request(self, req):
+        self.reqs.append(req)
+        req.conn.reply(req, 200, (), req.target.encode())
+
+
+def feed_caller(reads, **limits):
+    """Feeds a caller's connection until it is closed.
+
+    Returns:
+        The bytes read, the bytes written, and the requests.
+    """
+
+    async def main():
+        handler = Recorder()
+        conn = HttpConnection(handler, Limits(**limits), set())
+        transport = FakeTransport()
+        conn.connection_made(transport)
+        read_bytes = 0
+        for read in reads:
+            if read and not transport.closed:
+                read_bytes += len(read)
+                conn.data_received(read)
+        return read_bytes, transport.written, handler.reqs
+
+    return run(main())
+
+
+class TestCallers:
+    """Requests whose head never ends, and ordinary ones."""
+
+    @pytest.mark.parametrize("form", REQUEST_FORMS)
+    def test_is_refused_within_the_limit(self, form):
+        """Guards against heads that the parser accumulates without a limit."""
+        first, repeated = REQUEST_FORMS[form]
+        read_bytes, written, reqs = feed_caller([first, *pieces(repeated)])
+        assert written.startswith(b"HTTP/1.1 431 ")
+        assert reqs == []
+        assert read_bytes <= len(first) + 2 * READ_BYTES
+
+    def test_begins_after_a_complete_request(self):
+        read = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" + LINE + b"A: "
+        read_bytes, written, reqs = feed_caller(
+            [read + b"a" * READ_BYTES * 8, *pieces(b"a")]
+        )
+        assert written.startswith(b"HTTP/1.1 200 ")
+        assert b"HTTP/1.1 431 " in written
+        assert len(reqs) == 1
+        assert read_bytes == len(read) + READ_BYTES * 8
+
+    def test_head_of_the_allowed_size(self):
+        """The limit applies to the target and the headers, as before."""
+        head = b"GET / HTTP/1.1\r\nA: %s\r\n\r\n" % (b"a" * 494)
+        reads = [head[:300], head[300:]]
+        _, written, _ = feed_caller(reads, header_bytes=500)
+        assert written.startswith(b"HTTP/1.1 200 ")
+        _, written, _ = feed_caller(reads, header_bytes=499)
+        assert written.startswith(b"HTTP/1.1 431 ")
+
+    @pytest.mark.parametrize("read_bytes", [50, 700, 100_000])
+    def test_pipelined_requests(self, read_bytes):
+        """The heads of several requests are not added up."""
+        request = b"POST / HTTP/1.1\r\nContent-Length: 300\r\n\r\n" + b"b" * 300
+        data = request * 15
+        reads = [
+            data[start : start + read_bytes]
+            for start in range(0, len(data), read_bytes)
+        ]
+        _, _, reqs = feed_caller(reads, header_bytes=200)
+        assert [req.body for req in reqs] == [b"b" * 300] * 15
+
+    @pytest.mark.parametrize("read_bytes", [3, 1000, 100_000])
+    def test_small_chunks(self, read_bytes):
+        """The framing of many small chunks is not taken for a head."""
+        data = CHUNKED_REQUEST + b"1\r\nb\r\n" * 5000 + b"0\r\n\r\n"
+        reads = [
+            data[start : start + read_bytes]
+            for start in range(0, len(data), read_bytes)
+        ]
+        _, _, reqs = feed_caller(reads, header_bytes=500)
+        assert [req.body for req in reqs] == [b"b" * 5000]
