--- a/greengagemoor/aio/client.py
+++ b/greengagemoor/aio/client.py
@@ -10,6 +10,7 @@
 import httptools
 
 from greengagemoor.aio import sockets
+from greengagemoor.aio.response_size import ResponseSize, ResponseTooLargeError
 from greengagemoor.util import values
 
 if TYPE_CHECKING:
@@ -19,8 +20,7 @@
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 """Idle timeout of a searcher that sends no ``Keep-Alive`` header."""
-MAX_BODY_BYTES = 4_194_304
-"""Bound on a response body."""
+BODILESS_STATUSES = {204, 304}
 Headers = Sequence[tuple[bytes, bytes]]
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -92,6 +92,7 @@
         self._done = done
         self._matches_request = matches_request
         self._received_bytes = False
+        self._sizes = ResponseSize()
         self._reset_response()
         self._complete = False
         self._keep_alive = False
@@ -102,8 +103,8 @@
         self._status = 0
         self._is_match = False
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
+        self._sizes.clear_headers()
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; closes on bytes without a request in flight."""
@@ -113,8 +114,18 @@
         self._received_bytes = True
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._fail(f"invalid HTTP response: {type(exc).__name__}")
+            if not self._complete:
+                self._sizes.add_received(len(data))
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            ResponseTooLargeError,
+        ) as exc:
+            limit = _exceeded_limit(exc)
+            if limit:
+                self.fail_too_large(limit)
+            else:
+                self._fail(f"invalid HTTP response: {type(exc).__name__}")
             return
         if self._complete:
             self._finish()
@@ -122,6 +133,8 @@
             # Nothing that follows on this connection can be the response.
             self._pool.skipped_count += 1
             self._fail("response without a length to another request")
+        else:
+            self._pool.buffers.update(self, self._sizes.memory)
 
     def on_message_begin(self) -> None:
         """Rules out reuse if a second response follows the complete one."""
@@ -131,6 +144,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores one header."""
         if not self._complete:
+            self._sizes.add_header(name, value)
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -143,17 +157,24 @@
             return
         self._status = self._parser.get_status_code()
         # A final response follows one with status 1xx.
-        if self._status >= 200:
-            self._is_match = self._matches_request(self._headers)
+        if self._status < 200:
+            return
+        self._is_match = self._matches_request(self._headers)
+        if self._status not in BODILESS_STATUSES:
+            self._sizes.check_length(self._headers)
+
+    def on_chunk_header(self) -> None:
+        """Counts a chunk."""
+        if not self._complete:
+            self._sizes.add_chunk()
 
     def on_body(self, body: bytes) -> None:
-        """Stores a piece of the body."""
+        """Stores a piece of the body, unless the response is skipped."""
         if self._complete:
             return
-        self._size += len(body)
-        if self._size > MAX_BODY_BYTES:
-            raise ValueError("response body is too large")
-        self._body.append(body)
+        self._sizes.add_body(len(body), stored=self._is_match)
+        if self._is_match:
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Completes the response, or skips one to another request."""
@@ -172,6 +193,7 @@
     def _finish(self) -> None:
         done, self._done = self._done, None
         answer = self._build_answer()
+        self._free_response()
         reuse = not answer.closes and not self._must_close
         if reuse and self.transport.get_write_buffer_size():
             # The searcher answered before it read the complete request; it
@@ -188,7 +210,7 @@
         return HttpResponse(
             self._status,
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             closes=not self._keep_alive,
         )
 
@@ -203,6 +225,12 @@
             self._finish()
         return False
 
+    def _free_response(self) -> None:
+        self._pool.buffers.discard(self)
+        self._parser = None
+        self._headers = []
+        self._body = bytearray()
+
     def _ends_with_connection(self) -> bool:
         """Whether a response without a length is being received."""
         if self._status < 200 or self._complete:
@@ -217,6 +245,11 @@
         self._pool.discard_connection(self)
         self._fail(str(exc or "closed"))
 
+    def fail_too_large(self, limit: str) -> None:
+        """Fails the request in flight, as its response exceeds a limit."""
+        self._pool.too_large_count += 1
+        self._fail(f"response too large: {limit}")
+
     def _fail(self, reason: str) -> None:
         done, self._done = self._done, None
         stale = self._was_used and not self._received_bytes
@@ -234,10 +267,19 @@
         """Closes the connection at once."""
         self._must_close = True
         self._pool.discard_connection(self)
+        self._free_response()
         if self.transport is not None:
             self.transport.abort()
 
 
+def _exceeded_limit(exc: Exception) -> str:
+    # The parser wraps what a callback raises.
+    for cause in (exc, exc.__context__):
+        if isinstance(cause, ResponseTooLargeError):
+            return str(cause)
+    return ""
+
+
 def _server_idle_timeout(headers: tuple[tuple[bytes, bytes], ...]) -> float:
     for name, value in headers:
         if name.lower() == b"keep-alive":
