A logging call raises for no value

Operators would see: a line is missing, and the tick, timer or exception handler that wrote it ended in its place.

Cause: log.event formed a value's text with str(), which an exception's __str__ may fail, and handlers formed the text of what they caught the same way before they logged. The writer encoded lines strictly, so a lone surrogate in a finished line raised UnicodeEncodeError. (In a field, such as the path of a request, a surrogate was already escaped.)

Why it works: a value whose text can't be formed is logged as <its type>, and the writer escapes what it can't encode.

--- a/greengagemoor/aio/background.py
+++ b/greengagemoor/aio/background.py
@@ -42,7 +42,7 @@
         "task_failed",
         level="ERROR",
         task=name,
-        reason=f"{type(exc).__name__}: {exc}",
+        reason=log.describe(exc),
         where=log.where(exc),
     )
 
--- a/greengagemoor/log.py
+++ b/greengagemoor/log.py
@@ -36,11 +36,24 @@
 
 
 def _format_value(value: Any) -> str:
-    text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    text = f"{value:.6g}" if isinstance(value, float) else _to_text(value)
     is_plain = text and all(c.isprintable() and c not in ' "=' for c in text)
     return text if is_plain else json.dumps(text)
 
 
+def _to_text(value: Any) -> str:
+    try:
+        return str(value)
+    except Exception:
+        # The line may report an error in an exception handler.
+        return f"<{type(value).__name__}>"
+
+
+def describe(exc: BaseException) -> str:
+    """Returns the type and the text of an exception; never raises."""
+    return f"{type(exc).__name__}: {_to_text(exc)}"
+
+
 def where(exc: BaseException) -> str:
     """Returns the stack frames of an exception on one line, innermost last."""
     frames = traceback.extract_tb(exc.__traceback__)[-MAX_FRAMES:]
--- a/greengagemoor/serving/ticker.py
+++ b/greengagemoor/serving/ticker.py
@@ -67,7 +67,7 @@
             log.event(
                 "tick_failed",
                 level="ERROR",
-                reason=f"{type(exc).__name__}: {exc}",
+                reason=log.describe(exc),
                 where=log.where(exc),
             )
             wake = None
--- a/greengagemoor/shell/tick_loop.py
+++ b/greengagemoor/shell/tick_loop.py
@@ -97,7 +97,7 @@
         log.event(
             "tick_failed",
             level="ERROR",
-            reason=repr(exc),
+            reason=log.describe(exc),
             where=log.where(exc),
         )
         self._events.emit(events.TICK_FAILED, exc)
--- a/greengagemoor/util/line_writer.py
+++ b/greengagemoor/util/line_writer.py
@@ -40,7 +40,7 @@
             return
         at = time.time()
         line = f"time={at:.3f} level={level} instance={self._instance} {text}\n"
-        self._lines.append(line.encode())
+        self._lines.append(line.encode(errors="backslashreplace"))
 
     def flush(self) -> None:
         """Writes as much as the descriptor accepts without blocking."""
