--- a/greengagemoor/log_fields.py
+++ b/greengagemoor/log_fields.py
@@ -50,7 +50,7 @@
     "rows_not_kept": "the searchers' rows could not be saved for a restart",
     "rows_unreadable": "the saved rows are corrupt and ignored",
     "tick_failed": "a tick of the deciders raised an exception",
-    "task_failed": "an exception ended a background task or a callback",
+    "task_failed": "an exception that no task or callback handled",
     "loop_blocked": "the event loop ran nothing else for a long time",
     "log_lines_dropped": "lines dropped: slow reader, or rate limit exceeded",
 }
--- a/tests/test_aio/test_background.py
+++ b/tests/test_aio/test_background.py
@@ -18,6 +18,7 @@
         "greengagemoor.log.event",
         lambda name, **fields: written.append({"event": name, **fields}),
     )
+    monkeypatch.setattr(background, "_budgets", {})
     return written
 
 
@@ -68,3 +69,85 @@
 
         run(play())
         assert events == []
+
+
+class TestPeriodicCalls:
+    """A periodic call goes on after an exception."""
+
+    def test_next_call_follows_a_failed_one(self, events):
+        """Guards against a timer that stops at its first exception."""
+
+        async def play():
+            done = asyncio.Event()
+            calls = []
+
+            def callback():
+                calls.append(1)
+                if len(calls) == 3:
+                    done.set()
+                raise ValueError(str(len(calls)))
+
+            task = background.run_periodically("check", 0.001, callback)
+            await done.wait()
+            task.cancel()
+            await asyncio.wait([task])
+
+        before = background.failures()
+        run(play())
+        assert [line["reason"] for line in events] == [
+            "ValueError: 1",
+            "ValueError: 2",
+            "ValueError: 3",
+        ]
+        assert {line["task"] for line in events} == {"check"}
+        assert background.failures() == before + 3
+
+    def test_cancelled_one_ends(self, events):
+        """Guards against a call after the owner has stopped."""
+        calls = []
+
+        async def play():
+            task = background.run_periodically(
+                "check", 0.0, lambda: calls.append(1)
+            )
+            task.cancel()
+            await asyncio.wait([task])
+
+        run(play())
+        assert (calls, events) == ([], [])
+
+
+class TestRateOfLines:
+    """A task that fails again and again leaves few lines."""
+
+    @pytest.fixture(autouse=True)
+    def clock(self, monkeypatch):
+        """Replaces the clock of the budgets; returns its settable time."""
+        now = [1000.0]
+        monkeypatch.setattr(background.time, "monotonic", lambda: now[0])
+        return now
+
+    def test_lines_beyond_the_rate_are_counted(self, events, clock):
+        """Guards against a failing task that displaces all other lines."""
+        before = background.failures()
+        for _ in range(100):
+            background.log_failure("check", ValueError("x"))
+        kept = len(events)
+        clock[0] += 60.0
+        background.log_failure("check", ValueError("x"))
+        assert kept == background.LINES_BURST
+        assert events[-1]["left_out"] == 100 - kept
+        assert background.failures() == before + 101
+
+    def test_other_task_still_gets_its_line(self, events):
+        """Guards against the first failure of a task without a line."""
+        for _ in range(100):
+            background.log_failure("check", ValueError("x"))
+        background.log_failure("store", KeyError("y"))
+        assert events[-1]["task"] == "store"
+
+    def test_number_of_budgets_is_bounded(self, events):
+        """Guards against memory that grows with each new name."""
+        for number in range(3 * background.MAX_BUDGETS):
+            background.log_failure(f"dial {number}", ValueError("x"))
+        assert len(background._budgets) <= background.MAX_BUDGETS
