--- a/greengagemoor/log_fields.py
+++ b/greengagemoor/log_fields.py
@@ -11,6 +11,7 @@
     "stop": "SIGTERM or SIGINT; serves until the callers' addresses expire",
     "stopped": "the process has shut down in order",
     "requests_aborted": "the process ends before these requests are answered",
+    "process_failed": "an exception ends the process",
     "reload": "the settings file has changed; the new settings are in force",
     "settings_unreadable": "malformed settings file; the old settings stay",
     "listening": "an address accepts connections",
