The settings file is read again after any error

Operators would see: a process never applies changed settings any more, such as new seeds, after one unexpected exception while it read or applied them.

Cause: only SettingsError was caught; any other exception ended the task. A reload that failed was not repeated either, as the settings counted as applied before.

Why it works: the check is a periodic call, and settings count as applied only once the reload has returned; the line reload follows it.

Evidence: both tests of TestSettings failed on the code before.

--- a/greengagemoor/platform/program.py
+++ b/greengagemoor/platform/program.py
@@ -74,7 +74,10 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     if await _start_unless_stopped(app, stop_requested):
         gc.freeze()
-        watching = background.spawn("watch_settings", _watch(app, cfg))
+        watch = SettingsWatch(app, cfg)
+        watching = background.run_periodically(
+            "watch_settings", RELOAD_INTERVAL_S, watch.check
+        )
         await stop_requested.wait()
         log.event("stop")
         await app.stop()
@@ -100,19 +103,25 @@
         stopping.cancel()
 
 
-async def _watch(app, cfg) -> None:
+class SettingsWatch:
     """Applies changed settings; the file may change without a signal."""
-    while True:
-        await asyncio.sleep(RELOAD_INTERVAL_S)
+
+    def __init__(self, app: EntryApp | ControlApp, cfg: ServingSettings):
+        """Watches for settings other than ``cfg``, with which the app runs."""
+        self._app = app
+        self._cfg = cfg
+
+    def check(self) -> None:
+        """Reads the settings file; settings that fail to apply stay due."""
         try:
             new = read_boot(boot_path())
         except SettingsError as exc:
             log.event("settings_unreadable", level="ERROR", reason=exc)
-            continue
-        if new != cfg:
-            cfg = new
-            log.event("reload", seeds=",".join(cfg.seeds))
-            app.reload(cfg)
+            return
+        if new != self._cfg:
+            self._app.reload(new)
+            self._cfg = new
+            log.event("reload", seeds=",".join(new.seeds))
 
 
 def run(
--- a/tests/test_platform/test_program.py
+++ b/tests/test_platform/test_program.py
@@ -20,6 +20,7 @@
 from tests.test_aio.helpers import run
 
 CFG = ServingSettings("e1", "dc1", "127.0.0.1:1", ())
+OTHER = ServingSettings("e1", "dc1", "127.0.0.1:1", ("127.0.0.1:2",))
 PROCESS_TIMEOUT_S = 30.0
 STUCK_THREAD = """
 import threading
@@ -199,3 +200,32 @@
         assert ended.returncode == program.EXIT_FAILED
         assert "RuntimeError: no" in ended.stderr
         assert "event=process_failed" in ended.stdout
+
+
+class TestSettings:
+    """Changed settings are applied, whatever failed before."""
+
+    def test_read_again_after_an_unexpected_error(
+        self, output, app, monkeypatch
+    ):
+        """Guards against settings that are never read again."""
+        errors = [RuntimeError("odd"), MemoryError()]
+
+        def read(path):
+            if errors:
+                raise errors.pop()
+            return OTHER
+
+        monkeypatch.setattr(program, "read_boot", read)
+        serve(lambda: wait_until(lambda: app.reloaded))
+        assert app.reloaded == [OTHER]
+
+    def test_applied_again_after_a_failed_reload(
+        self, output, app, monkeypatch
+    ):
+        """Guards against changed settings that never come into force."""
+        app.reload_errors = [ValueError("a"), ValueError("b")]
+        monkeypatch.setattr(program, "read_boot", lambda path: OTHER)
+        serve(lambda: wait_until(lambda: app.reloaded))
+        assert app.reloaded == [OTHER]
+        assert output.text().count("event=reload") == 1
