An address is dialled again after any exception

Operators would see: an instance that never links to another one again, though both run; after a restart of its peer, or from the start.

Cause: only OSError and TimeoutError were caught while dialling. Any other exception ended the task (a malformed address learnt from a peer, a host name that can't be encoded, no memory), and the address stayed among those with a task, so nothing dialled it again. Connections that closed before their link was registered were dialled again without a pause.

Why it works: dialling is a class of its own, whose loop ends only when it is cancelled. An unexpected exception is logged, within a rate for each address, and followed by the same pause as a refused connection. A pause follows each connection as well.

--- a/bench/mutant_list.py
+++ b/bench/mutant_list.py
@@ -419,8 +419,8 @@
     ),
     Mutant(
         "who is gone is dialled no more",
-        "aio/links.py",
-        "for address in set(self.dial_tasks_by_address) - addresses:",
+        "aio/dialler.py",
+        "for address in set(self.tasks_by_address) - addresses:",
         "for address in ():",
         ("tests/test_aio/test_links.py",),
     ),
--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -5,12 +5,12 @@
 import asyncio
 import struct
 import zlib
-from functools import lru_cache
+from functools import lru_cache, partial
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
-from greengagemoor.aio import background, sockets
-from greengagemoor.aio.dial_backoff import DialBackoff
+from greengagemoor.aio import sockets
+from greengagemoor.aio.dialler import Dialler
 from greengagemoor.control.messages import Received, Send
 from greengagemoor.errors import WireError
 from greengagemoor.feed.messages import LinkDown, LinkUp
@@ -42,8 +42,6 @@
 failures sooner, as callers are sent to an entry until its link is closed."""
 DIALLED_SILENCE_TIMEOUT_S = 2.3
 """The dialling side closes a link after this long without a byte."""
-CLOSED_CHECK_S = 0.1
-"""Interval at which the dialling side checks whether a link has closed."""
 
 
 class Link(asyncio.Protocol):
@@ -183,7 +181,7 @@
         self._put = put
         self._loop = asyncio.get_running_loop()
         self._by_name: dict[str, list[Link]] = {}
-        self.dial_tasks_by_address: dict[str, asyncio.Task] = {}
+        self._dialler = Dialler(partial(Link, self), self._is_dialled)
         self._server: asyncio.Server | None = None
         self._outbox: dict[str, list] = {}
 
@@ -214,35 +212,15 @@
 
         Other addresses are no longer dialled, but open links to them stay.
         """
-        for address in set(self.dial_tasks_by_address) - addresses:
-            self.dial_tasks_by_address.pop(address).cancel()
-        for address in addresses - {self.address}:
-            self._dial(address)
-
-    def _dial(self, address: str) -> None:
-        if address not in self.dial_tasks_by_address:
-            name = f"dial {address}"
-            task = background.spawn(name, self._maintain_link(address))
-            self.dial_tasks_by_address[address] = task
-
-    async def _maintain_link(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        backoff = DialBackoff()
-        while any(link.dialled == address for link in self.open_links):
-            await asyncio.sleep(CLOSED_CHECK_S)
-        while True:
-            try:
-                async with asyncio.timeout(backoff.connect_s):
-                    _, link = await self._loop.create_connection(
-                        lambda: Link(self, address), host, int(port)
-                    )
-            except (OSError, TimeoutError):
-                await asyncio.sleep(backoff.wait_s)
-                backoff.record_failure()
-                continue
-            backoff = DialBackoff()
-            while link in self.open_links:
-                await asyncio.sleep(CLOSED_CHECK_S)
+        self._dialler.set_addresses(addresses - {self.address})
+
+    @property
+    def dialled_addresses(self) -> Collection[str]:
+        """Addresses to which links are kept."""
+        return self._dialler.tasks_by_address.keys()
+
+    def _is_dialled(self, address: str) -> bool:
+        return any(link.dialled == address for link in self.open_links)
 
     def handle_batch(self, link: Link, name: str, payloads: list) -> None:
         """Delivers a batch; stores the sender's name from the first one."""
@@ -283,7 +261,7 @@
         else:
             pending.append(msg.payload)
         if msg.address and msg.to not in self._by_name:
-            self._dial(msg.address)
+            self._dialler.dial(msg.address)
 
     def _flush(self, name: str) -> None:
         payloads = self._outbox.pop(name)
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -221,7 +221,7 @@
         )
         app, _ = play([], member_without_group(), Received("127.0.0.3", reply))
         assert "127.0.0.9" in app._client.targets
-        assert "127.0.0.9:7740" in app._links.dial_tasks_by_address
+        assert "127.0.0.9:7740" in app._links.dialled_addresses
 
 
 class TestUnavailableMember:
