Links are checked on after a link fails

Operators would see: all links of an instance close and open again every two seconds, as no keep-alive is sent, and a silent link (a cut, a frozen process) is never closed by it again.

Cause: the check of the links scheduled itself at its end; an exception from one link, as in sending its keep-alive, ended it for all links.

Why it works: the check is a periodic call, each link is checked by itself, and one that fails is closed, so that it is dialled anew.

Evidence: both tests of TestChecks failed on the code before.

--- a/greengagemoor/aio/links.py
+++ b/greengagemoor/aio/links.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
-from greengagemoor.aio import sockets
+from greengagemoor.aio import background, sockets
 from greengagemoor.aio.dialler import Dialler
 from greengagemoor.control.messages import Received, Send
 from greengagemoor.errors import WireError
@@ -205,7 +205,9 @@
             self._server = await self._loop.create_server(
                 lambda: Link(self), host, int(port), backlog=512
             )
-        self._loop.call_later(KEEP_ALIVE_S / 2, self._check_links)
+        background.run_periodically(
+            "check_links", KEEP_ALIVE_S / 2, self._check_links
+        )
 
     def set_addresses(self, addresses: set[str]) -> None:
         """Sets the addresses to keep links to.
@@ -273,9 +275,15 @@
         """Sends keep-alives that are due and closes silent links."""
         now = self.now()
         for link in list(self.open_links):
-            if link.is_silent(now):
-                log.event("link_silent", level="WARNING", peer=link.name)
+            try:
+                self._check_link(link, now)
+            except Exception as exc:
+                background.log_failure("check_link", exc)
                 link.close()
-            elif link.is_due(now):
-                link.send([])
-        self._loop.call_later(KEEP_ALIVE_S / 2, self._check_links)
+
+    def _check_link(self, link: Link, now: float) -> None:
+        if link.is_silent(now):
+            log.event("link_silent", level="WARNING", peer=link.name)
+            link.close()
+        elif link.is_due(now):
+            link.send([])
--- a/tests/test_aio/test_link_failures.py
+++ b/tests/test_aio/test_link_failures.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from greengagemoor.aio import background
+from greengagemoor.aio import links as links_module
 from greengagemoor.aio.links import Links
-from greengagemoor.feed.messages import LinkUp
+from greengagemoor.feed.messages import LinkDown, LinkUp
 from tests.test_aio.helpers import run
-from tests.test_aio.test_links import Inbox
+from tests.test_aio.test_links import Inbox, linked_pair
 
 
 class TestDialling:
@@ -51,7 +51,7 @@
         """Guards against a dial task that ends and keeps its address."""
         told = []
         monkeypatch.setattr(
-            background,
+            links_module.background,
             "log_failure",
             lambda name, exc: told.append(name),
         )
@@ -90,3 +90,56 @@
 
         run(main())
         assert len(dialled) == 1
+
+
+class TestChecks:
+    """The check of the links goes on after an exception."""
+
+    @pytest.fixture(autouse=True)
+    def short_intervals(self, monkeypatch):
+        """Shortens keep-alives; no link is closed as silent."""
+        monkeypatch.setattr(links_module, "KEEP_ALIVE_S", 0.01)
+        monkeypatch.setattr(links_module, "SILENCE_TIMEOUT_S", 1e6)
+        monkeypatch.setattr(links_module, "DIALLED_SILENCE_TIMEOUT_S", 1e6)
+
+    def test_link_that_fails_is_replaced_and_checked(self, monkeypatch):
+        """Guards against links without keep-alives after one failed send."""
+
+        def fail(payloads):
+            raise RuntimeError("odd")
+
+        async def main():
+            _, _, client, two = await linked_pair()
+            (link,) = client.open_links
+            link.send = fail
+            await two.get(LinkDown)
+            await two.get(LinkUp)
+            (link,) = client.open_links
+            sent = link.last_sent_at
+            while link.last_sent_at == sent:
+                await asyncio.sleep(0.005)
+            return link
+
+        assert run(main()) is not None
+
+    def test_other_links_are_checked_beside_one_that_fails(self, monkeypatch):
+        """Guards against one link that keeps others from being checked."""
+        checked = []
+
+        class FakeLink:
+            name = "x"
+
+            def is_silent(self, now):
+                checked.append(self)
+                raise RuntimeError("odd")
+
+            def close(self):
+                pass
+
+        async def main():
+            client = Links("two", "", Inbox().put)
+            client.open_links = {FakeLink(), FakeLink()}
+            client._check_links()
+
+        run(main())
+        assert len(checked) == 2
