Each attempt of an entry ends, whatever fails

Callers would see: a request waits until its deadline, and its place at the searcher stays taken; with a few of them an entry sends that searcher nothing more.

Cause: an exception while a request was written, sent or its answer read left no AttemptEnded. The exception was logged, but the decider counts the attempt as in flight until it ends.

Why it works: the entry's attempts are a class of their own, which turns any exception into an end: not sent while the request is written; broken, so that an unsafe request is not repeated, once part of it may have left; broken with a response while the answer is read, which suspects no request of a crash.

--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import zlib
-from functools import partial
 from itertools import count
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
 from greengagemoor.aio import background
 from greengagemoor.aio.links import Links
-from greengagemoor.aio.pool import PendingRequest, Pool
+from greengagemoor.aio.pool import Pool
 from greengagemoor.aio.requests import Limits
 from greengagemoor.aio.server import (
     IDLE_CHECK_INTERVAL_S,
@@ -23,25 +21,21 @@
 from greengagemoor.errors import DocumentError
 from greengagemoor.feed import messages as feed
 from greengagemoor.forward import part_messages as parts
-from greengagemoor.forward.entry_decider import EntryDecider
 from greengagemoor.forward.messages import (
     AnswerWritten,
     Arrived,
-    AttemptEnded,
     CallerGone,
     CancelAttempt,
     CloseIdle,
-    Outcome,
-    ProbeEnded,
     ProbeSearcher,
     Respond,
     ShutdownStarted,
     StartAttempt,
 )
-from greengagemoor.forward.policy import Policy
 from greengagemoor.routing import routes
 from greengagemoor.serving import event_log
-from greengagemoor.serving.attempt_results import attempt_ended
+from greengagemoor.serving.attempts import Attempts
+from greengagemoor.serving.entry_setup import make_decider
 from greengagemoor.serving.health import Health
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.peers import Peers
@@ -53,14 +47,10 @@
 if TYPE_CHECKING:
     import socket
 
-    from greengagemoor.aio.client import HttpFailure, HttpResponse
     from greengagemoor.aio.requests import HttpRequest
     from greengagemoor.serving.dialect import Dialect, Reply
     from greengagemoor.serving.settings import ServingSettings
 
-RETRY_BUDGET_SHARE = 0.85
-"""Share of the allowed retries and hedges that is used. The rest is a margin: a
-stall of the network moves requests and their retries into different windows."""
 SWEEP_INTERVAL_S = 1.0
 KEEP_SERVING_SHARE = 0.6
 """Share of the grace time in which a leaving entry still accepts requests."""
@@ -88,23 +78,8 @@
         self.cfg = cfg
         self._listener = listener
         self.clock = Clock()
-        rng = random.Random(cfg.seed or hash(cfg.instance))
-        policy = Policy(
-            retry_ratio=cfg.retry_ratio * RETRY_BUDGET_SHARE,
-            retry_slack=cfg.retry_slack * RETRY_BUDGET_SHARE,
-            retry_window_s=cfg.retry_window_s,
-            admission_control=cfg.admission_control,
-        )
         self._dialect = dialect
-        own_row = feed.Subscribe(
-            cfg.instance,
-            cfg.caller_address,
-            cfg.data_centre,
-            ready=False,
-            peer_address=cfg.peer_address,
-            capacity=cfg.entry_capacity,
-        )
-        self._decider = EntryDecider(own_row, rng, policy)
+        self._decider = make_decider(cfg)
         self._view = self._decider.view
         self._forward = self._decider.forward
         self._forward.tables.link_bytes_per_s = cfg.link_bytes_per_s
@@ -117,7 +92,9 @@
         self._dialled_peers: tuple[str, ...] = ()
         self._tokens = count(1)
         self._requests: dict[int, HttpRequest] = {}
-        self._sends: dict[int, PendingRequest] = {}
+        self._attempts = Attempts(
+            self._pool, dialect, self.clock, self._ticker.put, self._requests
+        )
         self._peers = Peers(
             cfg.instance, cfg.peer_address, self._ticker.put, self._requests
         )
@@ -255,11 +232,9 @@
 
     def _act(self, msg: object) -> None:
         if isinstance(msg, StartAttempt):
-            self._start_attempt(msg)
+            self._attempts.start(msg)
         elif isinstance(msg, CancelAttempt):
-            sending = self._sends.pop(msg.attempt_id, None)
-            if sending is not None:
-                sending.cancel()
+            self._attempts.cancel(msg)
         elif isinstance(msg, Respond):
             self._respond(msg)
         elif isinstance(msg, Send):
@@ -275,8 +250,7 @@
         elif isinstance(msg, CloseIdle):
             self._pool.close_idle_to(msg.address)
         elif isinstance(msg, ProbeSearcher):
-            done = partial(self._probe_done, msg.searcher)
-            self._pool.check_listening(msg.address, done)
+            self._attempts.probe(msg)
         elif isinstance(msg, feed.DocumentUpdated):
             self._apply_document(msg)
         elif isinstance(msg, feed.StandingChanged):
@@ -284,28 +258,6 @@
         else:
             event_log.log_change(msg, self._view.number)
 
-    def _start_attempt(self, msg: StartAttempt) -> None:
-        req = self._requests.get(msg.token)
-        if req is None:
-            self._ticker.put(AttemptEnded(msg.attempt_id, Outcome.NOT_SENT))
-            return
-        left_s = msg.deadline - self.clock.now()
-        data = self._dialect.write_attempt(req, msg.searcher_id, left_s)
-        done = partial(self._attempt_done, msg)
-        is_answer = partial(self._dialect.is_answer_to, msg.request_id)
-        self._sends[msg.attempt_id] = self._pool.send(
-            msg.address, data, done, is_answer
-        )
-
-    def _attempt_done(
-        self, msg: StartAttempt, result: HttpResponse | HttpFailure
-    ) -> None:
-        self._sends.pop(msg.attempt_id, None)
-        self._ticker.put(attempt_ended(msg.attempt_id, result, self._dialect))
-
-    def _probe_done(self, searcher: feed.SearcherKey, refused: bool) -> None:
-        self._ticker.put(ProbeEnded(searcher, refused))
-
     def _respond(self, msg: Respond) -> None:
         req = self._requests.pop(msg.token, None)
         if req is not None:
--- a/tests/test_feed/test_shares.py
+++ b/tests/test_feed/test_shares.py
@@ -15,7 +15,7 @@
 from greengagemoor.forward.policy import Policy
 from greengagemoor.forward.tables import Tables
 from greengagemoor.routing.routes import ServiceRules
-from greengagemoor.serving.entry import RETRY_BUDGET_SHARE
+from greengagemoor.serving.entry_setup import RETRY_BUDGET_SHARE
 
 HUBS = ("c1", "c2", "c3")
 SLACK = 422.0
