One failing message loses no other answers of its tick

Callers would see: no answer at all, until they give up, because the answer to another request in the same turn of the loop could not be written or a message to a peer failed. Operators would see a tick_failed line for each.

Cause: an exception while an entry acted on one output message ended the tick and dropped all later ones. The caller whose answer failed waited on an open connection, which no timeout closes while a request is in progress.

An answer that can't be written closes its connection. tick_failed lines are bounded (20 at once, then 2 a second) and tell in left_out how many came before, as a decider may fail at every message; tick_failures_total counts all.

Evidence: both tests of TestFailingMessage failed on the code before, and of the three of TestFailures the isolation (new function) and the bound on lines; the third guards the tick after a failed one.

--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -208,7 +208,7 @@
 
     def _tick(self, now: float, msgs: list) -> float | None:
         for msg in self._decider.step(now, msgs):
-            self._act(msg)
+            self._ticker.isolate(self._act, msg)
         if self._view.peers is not self._dialled_peers:
             self._update_links()
         return self._decider.next_wake()
@@ -261,12 +261,20 @@
     def _respond(self, msg: Respond) -> None:
         req = self._requests.pop(msg.token, None)
         if req is not None:
-            self._reply(req, self._dialect.write_answer(msg))
+            self._write_answer(req, msg)
         if msg.merged is not None:
             self._ticker.put(AnswerWritten(self.clock.now() - msg.due_at))
         self._metrics.note(msg)
         self._request_log.note(self.clock.now(), msg, self._view.number)
 
+    def _write_answer(self, req: HttpRequest, msg: Respond) -> None:
+        try:
+            self._reply(req, self._dialect.write_answer(msg))
+        except Exception:
+            # Its caller would wait for as long as the connection is open.
+            req.conn.close()
+            raise
+
     def _gauges(self) -> dict[str, float]:
         return {
             **self._decider.gauges(),
--- a/greengagemoor/serving/ticker.py
+++ b/greengagemoor/serving/ticker.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
+from greengagemoor.util.line_budget import LineBudget
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,10 +18,17 @@
 BLOCKED_S = 0.3
 """Least delay of other work that is logged: twice the interval of a leader's
 heartbeats."""
+FAILED_LINES_PER_S = 2.0
+FAILED_LINES_BURST = 20.0
 
 
 class Ticker:
-    """Collects messages and runs one tick for all of a turn of the loop."""
+    """Collects messages and runs one tick for all of a turn of the loop.
+
+    Attributes:
+        failures: exceptions raised by ticks and by the handlers of their
+            output so far.
+    """
 
     def __init__(
         self, clock: Clock, run: Callable[[float, list], float | None]
@@ -39,6 +47,7 @@
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._due_at = self._loop.time()
+        self._lines = LineBudget(FAILED_LINES_PER_S, FAILED_LINES_BURST)
 
     def put(self, msg: object) -> None:
         """Adds a message, and schedules a tick unless one is scheduled."""
@@ -63,16 +72,31 @@
             wake = self._run(now, msgs)
         except Exception as exc:
             # An unexpected message must not stop the processing of others.
-            self.failures += 1
+            self._record_failure(exc)
+            wake = None
+        self._sleep(now, wake)
+        _log_if_blocked(self._loop.time() - started_at, "tick")
+
+    def isolate(self, handler: Callable[[object], None], msg: object) -> None:
+        """Handles an output message of a tick; an exception ends only this.
+
+        The same tick may hold the answers to many callers.
+        """
+        try:
+            handler(msg)
+        except Exception as exc:
+            self._record_failure(exc)
+
+    def _record_failure(self, exc: Exception) -> None:
+        self.failures += 1
+        if self._lines.try_take(self._loop.time()):
             log.event(
                 "tick_failed",
                 level="ERROR",
                 reason=log.describe(exc),
                 where=log.where(exc),
+                left_out=self._lines.reset_dropped(),
             )
-            wake = None
-        self._sleep(now, wake)
-        _log_if_blocked(self._loop.time() - started_at, "tick")
 
     def _sleep(self, now: float, wake: float | None) -> None:
         if self._timer is not None:
--- a/tests/test_serving/test_entry.py
+++ b/tests/test_serving/test_entry.py
@@ -6,11 +6,13 @@
 
 from greengagemoor.aio import sockets
 from greengagemoor.aio.connection import HttpConnection
+from greengagemoor.aio.requests import HttpRequest
 from greengagemoor.feed.messages import (
     SearcherRow,
     SearcherState,
     SearcherUpdated,
 )
+from greengagemoor.forward.messages import Ending, Respond
 from greengagemoor.platform.dialect import PlatformDialect
 from greengagemoor.routing.routes import RouteTable, ServiceRules
 from greengagemoor.serving import entry as entry_module
@@ -167,3 +169,74 @@
         written = stop_while_a_searcher_works()
         assert written.startswith(b"HTTP/1.1 504")
         assert b"Connection: close" in written
+
+
+class Caller:
+    """A caller's connection; records what was sent, and whether it closed."""
+
+    def __init__(self):
+        self.statuses = []
+        self.closed = False
+
+    def reply(self, req, status, headers, body):
+        self.statuses.append(status)
+
+    def close(self):
+        self.closed = True
+
+
+class FailingDialect(PlatformDialect):
+    """Can't write the answer to one request."""
+
+    def write_answer(self, msg):
+        if msg.request_id == "bad":
+            raise KeyError("odd")
+        return super().write_answer(msg)
+
+
+def answer(request_ids):
+    """Answers requests in one tick of an entry.
+
+    Returns:
+        The entry and its callers, by the id of their request.
+    """
+
+    async def main():
+        app = make_entry()
+        app._dialect = FailingDialect()
+        callers = {}
+        out = []
+        for token, request_id in enumerate(request_ids, 1):
+            callers[request_id] = Caller()
+            req = HttpRequest("GET", "/a", [], b"", 0.0, callers[request_id])
+            app._requests[token] = req
+            out.append(
+                Respond(
+                    token,
+                    request_id,
+                    single(prefix="/"),
+                    Ending.NO_ANSWER,
+                    1,
+                    1,
+                )
+            )
+        app._decider.step = lambda now, msgs: out
+        app._ticker.tick()
+        return app, callers
+
+    return run(main())
+
+
+class TestFailingMessage:
+    """An output message that fails leaves the others of its tick alone."""
+
+    def test_other_callers_get_their_answers(self):
+        """Guards against answers lost because another one can't be written."""
+        app, callers = answer(["bad", "r2", "r3"])
+        assert callers["r2"].statuses == callers["r3"].statuses == [504]
+        assert app._ticker.failures == 1
+
+    def test_its_caller_does_not_wait(self):
+        """Guards against a caller whose answer was lost and who waits on."""
+        _, callers = answer(["bad"])
+        assert callers["bad"].closed
--- a/tests/test_serving/test_ticker.py
+++ b/tests/test_serving/test_ticker.py
@@ -49,3 +49,64 @@
 
         run(play())
         assert "other" in {ran for _, ran in blocks}
+
+
+class TestFailures:
+    """A failing message or tick ends no others."""
+
+    def test_other_messages_of_a_tick_are_handled(self):
+        """Guards against answers lost because another message fails."""
+        handled = []
+
+        def handle(msg):
+            if msg == "bad":
+                raise KeyError(msg)
+            handled.append(msg)
+
+        async def play():
+            one = Ticker(Clock(), lambda now, msgs: None)
+            for msg in ("a", "bad", "b"):
+                one.isolate(handle, msg)
+            return one.failures
+
+        assert run(play()) == 1
+        assert handled == ["a", "b"]
+
+    def test_tick_follows_a_failed_one(self, monkeypatch):
+        """Guards against timers that stop at the first failed tick."""
+        monkeypatch.setattr(ticker, "MAX_SLEEP_S", 0.005)
+
+        async def play():
+            done = asyncio.Event()
+            ticks = []
+
+            def tick(now, msgs):
+                ticks.append(now)
+                if len(ticks) == 3:
+                    done.set()
+                raise ValueError("x")
+
+            Ticker(Clock(), tick).tick()
+            await done.wait()
+
+        run(play())
+
+    def test_lines_of_failures_are_bounded(self, monkeypatch):
+        """Guards against a decider that fills the log."""
+        lines = []
+        monkeypatch.setattr(
+            ticker.log, "event", lambda name, **fields: lines.append(fields)
+        )
+        monkeypatch.setattr(ticker, "FAILED_LINES_PER_S", 0.0)
+
+        def fail(now, msgs):
+            raise ValueError("x")
+
+        async def play():
+            one = Ticker(Clock(), fail)
+            for _ in range(100):
+                one.tick()
+            return one.failures
+
+        assert run(play()) == 100
+        assert len(lines) == ticker.FAILED_LINES_BURST
