The periodic work of an entry goes on after an exception

Operators would see: idle connections to searchers are kept past their timeout and the histograms of an entry's metrics stand still, until it is restarted.

Cause: one callback closed expired connections, updated the histograms and scheduled itself at its end; an exception in either ended both.

Why it works: each is a periodic call of its own.

Evidence: the test of TestPeriodicWork failed on the code before.

--- a/greengagemoor/serving/attempts.py
+++ b/greengagemoor/serving/attempts.py
@@ -105,6 +105,16 @@
         done = partial(self._end_probe, msg.searcher)
         self._pool.check_listening(msg.address, done)
 
+    def gauges(self) -> dict[str, float]:
+        """Returns the current gauges, by name."""
+        return {
+            "searcher_connections_opened_total": self._pool.opened_count,
+            "searcher_responses_skipped_total": self._pool.skipped_count,
+            "searcher_responses_ended_by_close_total": (
+                self._pool.ended_by_close_count
+            ),
+        }
+
     def _end(self, attempt_id: int, result: HttpResponse | HttpFailure) -> None:
         self._pending.pop(attempt_id, None)
         try:
--- a/greengagemoor/serving/entry.py
+++ b/greengagemoor/serving/entry.py
@@ -121,7 +121,11 @@
             await server.start()
         await self._callers.start(self._listener)
         self._ticker.tick()
-        asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
+        for name, callback in (
+            ("close_expired", self._pool.close_expired),
+            ("update_histograms", self._metrics.update_histograms),
+        ):
+            background.run_periodically(name, SWEEP_INTERVAL_S, callback)
 
     def reload(self, cfg: ServingSettings) -> None:
         """Applies changed settings and connects to their seeds."""
@@ -284,18 +288,9 @@
             "links": len(self._links.open_links),
             "link_bytes_sent_total": self._links.sent_bytes,
             "peer_bytes_sent_total": self._peers.sent_bytes,
-            "searcher_connections_opened_total": self._pool.opened_count,
-            "searcher_responses_skipped_total": self._pool.skipped_count,
-            "searcher_responses_ended_by_close_total": (
-                self._pool.ended_by_close_count
-            ),
+            **self._attempts.gauges(),
             "caller_connections": len(self._callers.conns),
             "tick_failures_total": self._ticker.failures,
             "task_failures_total": background.failures(),
             "log_lines_lost_total": log.dropped_lines(),
         }
-
-    def _sweep(self) -> None:
-        self._pool.close_expired()
-        self._metrics.update_histograms()
-        asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/tests/test_serving/test_entry.py
+++ b/tests/test_serving/test_entry.py
@@ -56,9 +56,8 @@
         pass
 
 
-def make_entry(**settings):
-    """Returns an entry that does not listen."""
-    address = "127.0.0.1:1"
+def make_entry(address="127.0.0.1:1", **settings):
+    """Returns an entry that does not listen yet."""
     cfg = ServingSettings(
         "e1",
         "dc1",
@@ -240,3 +239,33 @@
         """Guards against a caller whose answer was lost and who waits on."""
         _, callers = answer(["bad"])
         assert callers["bad"].closed
+
+
+class TestPeriodicWork:
+    """The periodic work of an entry goes on after an exception."""
+
+    def test_each_part_goes_on_beside_one_that_fails(self, monkeypatch):
+        """Guards against idle connections that are never closed again."""
+        monkeypatch.setattr(entry_module, "SWEEP_INTERVAL_S", 0.005)
+        calls = []
+
+        async def main():
+            done = asyncio.Event()
+
+            def fail():
+                calls.append("closed")
+                raise RuntimeError("odd")
+
+            def update():
+                calls.append("updated")
+                if calls.count("updated") > 2 and calls.count("closed") > 2:
+                    done.set()
+
+            app = make_entry("127.0.0.1:0")
+            app._pool.close_expired = fail
+            app._metrics.update_histograms = update
+            await app.start()
+            await done.wait()
+            app._callers.stop_accepting()
+
+        run(main())
