A peer receives messages again after its sending task failed

Operators would see: an instance of greengagemoord sends one of its peers nothing more until it is restarted: no gossip, no votes, no log entries.

Cause: the task that sends to a peer is started with the first message. If an exception ended it outside the delivery itself, as in closing the channel, its link kept it and started no other.

Why it works: a task that has ended is replaced at the next message; what was queued is sent then. Unhandled exceptions of that thread are logged in one line (task_failed).

--- a/greengagemoor/shell/peers.py
+++ b/greengagemoor/shell/peers.py
@@ -14,6 +14,7 @@
 from grpclib.server import Server
 
 from greengagemoor import log
+from greengagemoor.aio import background
 from greengagemoor.control.messages import Received
 from greengagemoor.errors import WireError
 from greengagemoor.wire import codec, peers_pb2
@@ -127,6 +128,7 @@
         self._loop.run_forever()
 
     async def _listen(self) -> None:
+        background.log_unhandled_exceptions()
         server = Server([PeerService(self._put)])
         await server.start(self._host, self._port)
         self._server = server
@@ -137,7 +139,7 @@
             link = self._links[msg.address] = _Link(msg.address)
         link.queue.append(msg.payload)
         link.wake.set()
-        if link.task is None:
+        if link.task is None or link.task.done():
             link.task = self._loop.create_task(self._drain(link))
 
     async def _drain(self, link: _Link) -> None:
