A greengagemoord that fails to start or to shut down ends

Operators would see: greengagemoord stays up and serves nothing, after an unexpected exception in its start; or it does not end after SIGTERM.

Cause: only StorageError and OSError of the start were caught. After any other exception the main thread ended, and the threads that had been started kept the process running. The shutdown was not guarded at all.

Why it works: such an exception is logged (start_failed, shutdown_failed), and the process exits with 1 at once, as it did for the two known errors.

Evidence: both tests of TestFailedDaemon failed on the code before.

--- a/greengagemoor/cmd/daemon.py
+++ b/greengagemoor/cmd/daemon.py
@@ -15,6 +15,7 @@
 from greengagemoor.config import Settings, load_settings
 from greengagemoor.errors import SettingsError, StorageError
 
+EXIT_FAILED = 1
 EXIT_INVALID = 2
 EXIT_STORAGE = 3
 EXIT_NETWORK = 4
@@ -29,8 +30,8 @@
 ) -> None:
     """Runs one instance until it receives SIGTERM or SIGINT.
 
-    Exit codes: 0 ended in order, 2 invalid settings, 3 the data folder can't
-    be used, 4 an address can't be listened on.
+    Exit codes: 0 ended in order, 1 unexpected error, 2 invalid settings, 3 the
+    data folder can't be used, 4 an address can't be listened on.
     """
     cfg = _load(settings)
     if check:
@@ -64,9 +65,25 @@
     except OSError as exc:
         log.event("listen_failed", level="ERROR", reason=exc)
         _exit_immediately(EXIT_NETWORK)
+    except Exception as exc:
+        _exit_failed("start_failed", exc)
     signal.sigwait(ENDING_SIGNALS)
     # A further signal stays pending and does not interrupt the shutdown.
-    application.shut_down()
+    try:
+        application.shut_down()
+    except Exception as exc:
+        _exit_failed("shutdown_failed", exc)
+
+
+def _exit_failed(event: str, exc: Exception) -> NoReturn:
+    """Ends the process, which its other threads would keep running."""
+    log.event(
+        event,
+        level="ERROR",
+        reason=log.describe(exc),
+        where=log.where(exc),
+    )
+    _exit_immediately(EXIT_FAILED)
 
 
 def _exit_immediately(code: int) -> NoReturn:
--- a/tests/test_cmd/test_programs.py
+++ b/tests/test_cmd/test_programs.py
@@ -52,6 +52,47 @@
         assert result.exit_code == daemon.EXIT_INVALID
 
 
+class FakeApplication:
+    """An application of which one step fails."""
+
+    def __init__(self, cfg):
+        self._failing_step = cfg
+
+    def start(self):
+        if self._failing_step == "start":
+            raise RuntimeError("odd")
+
+    def shut_down(self):
+        if self._failing_step == "shut_down":
+            raise TimeoutError("peers")
+
+
+class TestFailedDaemon:
+    """A daemon that fails ends, though its other threads still run."""
+
+    @pytest.mark.parametrize(
+        ("step", "event"),
+        [("start", "start_failed"), ("shut_down", "shutdown_failed")],
+    )
+    def test_ends_at_once(self, monkeypatch, step, event):
+        """Guards against a process that stays up and serves nothing."""
+        lines = []
+
+        def leave(code):
+            raise SystemExit(code)
+
+        monkeypatch.setattr(
+            daemon.log, "event", lambda name, **fields: lines.append(name)
+        )
+        monkeypatch.setattr(daemon, "Application", FakeApplication)
+        monkeypatch.setattr(daemon, "_exit_immediately", leave)
+        monkeypatch.setattr(daemon.signal, "sigwait", lambda signals: None)
+        with pytest.raises(SystemExit) as left:
+            daemon._serve(step)
+        assert left.value.code == daemon.EXIT_FAILED
+        assert lines == [event]
+
+
 class TestCtl:
     """``greengagemoorctl``."""
 
