A cancellation that fails in any way closes the attempt's connection

Searchers would see: attempts that were cancelled run on to their deadline.

Why it works: any exception closes the connection, as a network error does.

Evidence: two of the three cases failed before (ValueError, RuntimeError); the third guards OSError.

--- a/greengagemoor/shell/attempt_dispatch.py
+++ b/greengagemoor/shell/attempt_dispatch.py
@@ -221,7 +221,8 @@
                 timeout=urllib3.Timeout(total=CANCEL_TIMEOUT_S),
                 pool_timeout=CANCEL_TIMEOUT_S,
             )
-        except (HTTPError, OSError):
+        except Exception:
+            # An exception of a worker is seen by nobody.
             self._abort_connection(flight)
 
     def _abort_connection(self, flight: _InFlightAttempt) -> None:
