--- a/greengagemoor/log_fields.py
+++ b/greengagemoor/log_fields.py
@@ -11,6 +11,7 @@
     "stop": "SIGTERM or SIGINT; serves until the callers' addresses expire",
     "stopped": "the process has shut down in order",
     "requests_aborted": "the process ends before these requests are answered",
+    "process_failed": "an exception ends the process",
     "reload": "the settings file has changed; the new settings are in force",
     "settings_unreadable": "malformed settings file; the old settings stay",
     "listening": "an address accepts connections",
@@ -50,7 +51,7 @@
     "rows_not_kept": "the searchers' rows could not be saved for a restart",
     "rows_unreadable": "the saved rows are corrupt and ignored",
     "tick_failed": "a tick of the deciders raised an exception",
-    "task_failed": "an exception ended a background task or a callback",
+    "task_failed": "an exception that no task or callback handled",
     "loop_blocked": "the event loop ran nothing else for a long time",
     "log_lines_dropped": "lines dropped: slow reader, or rate limit exceeded",
 }
