A member handles its durable state before any other message

A control instance that restarted its member could vote twice in one term: a vote request that was waiting for the same tick was handled first, by a member with its stored identity and an empty log, and the stored term then replaced the newer one. A leader without accepted documents could be elected.

The test failed before: the vote of term 9 was granted, and the term was 5 afterwards.

--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -184,9 +184,11 @@
             self._unavailable_log.note(now, batch)
             return []
         self._unavailable_log.end()
-        out = self._decider.step(
-            now, filter(message_dispatch.is_for_member, batch)
-        )
+        msgs = [msg for msg in batch if message_dispatch.is_for_member(msg)]
+        # A member that handled a vote request before it knows its stored term
+        # could vote twice in one term.
+        msgs.sort(key=lambda msg: not isinstance(msg, control.Recovered))
+        out = self._decider.step(now, msgs)
         for msg in out:
             if isinstance(msg, control.Persist):
                 self._durable.write(msg)
--- a/tests/test_serving/test_recovery.py
+++ b/tests/test_serving/test_recovery.py
@@ -10,16 +10,22 @@
 import pytest
 
 from greengagemoor.control.client import Done
+from greengagemoor.control.commands import ChangeMembers, LogEntry, Member
 from greengagemoor.control.messages import (
     HardState,
     OpKind,
     Persist,
+    Persisted,
     PersistFailed,
+    Received,
+    Recovered,
+    VoteReply,
+    VoteRequest,
 )
 from greengagemoor.platform.dialect import PlatformDialect
 from greengagemoor.serving import durable_state, recovery
 from greengagemoor.serving.control import ControlApp
-from greengagemoor.serving.durable_state import DurableState
+from greengagemoor.serving.durable_state import DurableState, Opened
 from greengagemoor.serving.settings import ServingSettings
 from greengagemoor.storage.folder import DataFolder
 from tests.test_aio.helpers import TEST_TIMEOUT_S, run
@@ -48,10 +54,12 @@
     """Yields a control instance without listeners, its member running."""
     app = make_app(path)
     app._recovery.start()
-    await member_of(app)
-    yield app
-    await app._recovery.stop()
-    await app._durable.close()
+    try:
+        await member_of(app)
+        yield app
+    finally:
+        await app._recovery.stop()
+        await app._durable.close()
 
 
 async def member_of(app, previous=None):
@@ -112,6 +120,53 @@
         assert len(opened) == 1
 
 
+class TestFirstMessage:
+    """A member knows its durable state before it handles a message."""
+
+    def test_vote_requested_during_recovery_counts_the_stored_log(self):
+        """Guards against two votes in one term after a restart.
+
+        A vote request waits for the tick in which the member starts. A member
+        that handled it first would grant it against an empty log, and then
+        forget its vote as it learns its stored term.
+        """
+        member_id = "127.0.0.2#a"
+        members = tuple(
+            Member(name, name.partition("#")[0], "127.0.0.9:1", voter=True)
+            for name in (member_id, "b#1", "c#1")
+        )
+        stored = LogEntry(1, 5, ChangeMembers(members, time=0.0))
+        request = VoteRequest(
+            group="g",
+            source="b#1",
+            target=member_id,
+            term=9,
+            last_index=0,
+            last_term=0,
+            pre=False,
+        )
+
+        async def play():
+            app = make_app("unused")
+            sent = []
+            app._links.send = sent.append
+            written = []
+            app._durable.write = written.append
+            app._ticker.put(Received("b", request, "127.0.0.9:2"))
+            recovered = Recovered(HardState("g", 5, "c#1"), None, (stored,))
+            app._start_member(Opened(member_id, recovered, None))
+            await asyncio.sleep(0)
+            for operation in written:
+                app._ticker.put(Persisted(operation.op))
+            await asyncio.sleep(0.01)
+            return app._decider.state, sent
+
+        state, sent = run(play())
+        replies = [m.payload for m in sent if isinstance(m.payload, VoteReply)]
+        assert not any(reply.granted for reply in replies)
+        assert state.term == 9
+
+
 class TestUnexpectedErrors:
     """No error ends the attempts to open the folder."""
 
