No write counts as synced after an earlier one failed with any error

An acknowledged change could be missing after a restart. Only OSError closed the store for writes: after a MemoryError the next write was synced and reported, and the member counted the lost one as synced too. A failure that arrived in one tick with the sync of a later write was handled after the member's step, so that messages were sent that waited for the lost write.

Any error now closes the store until it is opened again, and a failed write discards the member before it handles anything else.

--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -161,6 +161,8 @@
 
     def _step(self, now: float, batch: list, inbox: deque) -> None:
         out = []
+        if any(isinstance(msg, control.PersistFailed) for msg in batch):
+            self._restart_member()
         try:
             out += self._step_member(now, batch)
         except Exception as exc:
@@ -173,8 +175,6 @@
             now, filter(message_dispatch.is_for_client, batch)
         )
         out += self._quotas.step(now, batch)
-        if any(isinstance(msg, control.PersistFailed) for msg in batch):
-            self._restart_member()
         for msg in out:
             self._handle(msg, inbox)
 
--- a/greengagemoor/storage/store.py
+++ b/greengagemoor/storage/store.py
@@ -150,8 +150,10 @@
             self._sync()
             self._journal.write(records.frame(MARK))
             self._journal.flush()
-        except OSError as exc:
-            self._failure = f"write or sync failed: {exc.strerror or exc}"
+        except Exception as exc:
+            # After any error it is unknown which records the file has.
+            reason = getattr(exc, "strerror", None) or repr(exc)
+            self._failure = f"write or sync failed: {reason}"
             raise SyncFailedError(self._failure) from exc
 
     def _write_one(self, operation: Persist) -> None:
--- a/tests/test_storage/test_store.py
+++ b/tests/test_storage/test_store.py
@@ -176,6 +176,25 @@
 class TestFailures:
     """Full disks and failed syncs."""
 
+    @pytest.mark.parametrize("step", ["_write_one", "_sync"])
+    def test_writes_are_rejected_after_any_error(
+        self, tmp_path, monkeypatch, step
+    ):
+        """Guards against a lost write that a later one reports as synced."""
+        store = open_store(tmp_path)
+        store.recover()
+
+        def fail(*arguments):
+            raise MemoryError
+
+        monkeypatch.setattr(store, step, fail)
+        with pytest.raises(SyncFailedError):
+            store.write([Persist(1, hard=HARD)])
+        monkeypatch.undo()
+        with pytest.raises(SyncFailedError):
+            store.write([Persist(2, entries=entries(1))])
+        store.close()
+
     def test_marked_as_used_once_the_disk_accepts_writes(
         self, tmp_path, monkeypatch
     ):
