--- a/greengagemoor/storage/store.py
+++ b/greengagemoor/storage/store.py
@@ -131,8 +131,9 @@
             for path in self._folder.path.glob(pattern):
                 if int(path.stem.partition("-")[2]) < self._generation:
                     path.unlink()
-        for path in self._folder.path.glob("*.new"):
-            path.unlink()
+        for pattern in (JOURNAL_GLOB, SNAPSHOT_GLOB):
+            for path in self._folder.path.glob(f"{pattern}.new"):
+                path.unlink()
 
     def write(self, operations: Iterable[Persist]) -> None:
         """Writes operations in order and syncs once for all of them.
--- a/tests/test_storage/test_store.py
+++ b/tests/test_storage/test_store.py
@@ -195,6 +195,19 @@
             store.write([Persist(2, entries=entries(1))])
         store.close()
 
+    def test_snapshot_keeps_incomplete_files_of_others(self, tmp_path):
+        """Guards against a snapshot that fails as rows are being stored.
+
+        Another thread replaces a file of the folder at the same time.
+        """
+        store = open_store(tmp_path)
+        store.recover()
+        incomplete = tmp_path / "searchers.bin.new"
+        incomplete.write_bytes(b"rows")
+        store.write([Persist(1, HARD, (), Snapshot(3, 1, (), b""))])
+        store.close()
+        assert incomplete.exists()
+
     def test_marked_as_used_once_the_disk_accepts_writes(
         self, tmp_path, monkeypatch
     ):
