A damaged folder loses its identity before anything else

A control instance that was killed while it emptied a damaged folder could start again under its old identity, without its term, vote and log, and count among the founders that still hold their disks. Files were removed in directory order, without a sync.

The format, which names the identity, and the founders are removed first and the directory is synced before the rest is removed; the lock stays.

--- a/greengagemoor/serving/durable_state.py
+++ b/greengagemoor/serving/durable_state.py
@@ -19,7 +19,12 @@
     SuspectRows,
 )
 from greengagemoor.shell.disk import DiskWriter
-from greengagemoor.storage.folder import DataFolder
+from greengagemoor.storage.folder import (
+    FORMAT_FILE,
+    LOCK_FILE,
+    DataFolder,
+    sync_directory,
+)
 from greengagemoor.storage.store import Store
 from greengagemoor.util import values
 from greengagemoor.wire import codec
@@ -169,8 +174,18 @@
             raise CorruptRecordError(f"{FOUNDERS}: {exc}") from exc
 
     def _delete_files(self) -> None:
+        """Empties the folder; its identity and its founders go first.
+
+        With a part of its files only, a start would take the folder for a new
+        one, or for that of a member that has promised nothing yet.
+        """
+        for name in (FORMAT_FILE, FOUNDERS):
+            (self._path / name).unlink(missing_ok=True)
+        sync_directory(self._path)
         for path in self._path.iterdir():
-            path.unlink()
+            if path.name != LOCK_FILE:
+                path.unlink(missing_ok=True)
+        sync_directory(self._path)
 
     def write(self, operation: Persist) -> None:
         """Queues an operation for the disk thread."""
--- a/greengagemoor/storage/folder.py
+++ b/greengagemoor/storage/folder.py
@@ -124,11 +124,7 @@
 
     def sync_directory(self) -> None:
         """Syncs the directory, so that new and removed names are durable."""
-        descriptor = os.open(self.path, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        sync_directory(self.path)
 
     def size(self) -> int:
         """Returns the size of all files in bytes."""
@@ -137,3 +133,12 @@
     def close(self) -> None:
         """Releases the lock."""
         self._lock.close()
+
+
+def sync_directory(path: Path) -> None:
+    """Syncs a directory, so that new and removed names are durable."""
+    descriptor = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- a/tests/test_serving/test_durable_state.py
+++ b/tests/test_serving/test_durable_state.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from pathlib import Path
+
+import pytest
 
 from greengagemoor.control.messages import Received
 from greengagemoor.feed.hub import FeedHub
@@ -88,6 +92,40 @@
         assert not errors
 
 
+class TestEmptied:
+    """A damaged folder is emptied in an order that a crash can't spoil."""
+
+    @pytest.mark.parametrize("removed", range(5))
+    def test_identity_is_new_if_killed_in_between(
+        self, tmp_path, monkeypatch, removed
+    ):
+        """Guards against a member that forgets its vote, but not its identity.
+
+        The process is killed after some files have been removed.
+        """
+        path = tmp_path / "d"
+        first = open_folder(path, FOUNDERS)
+        unlink = Path.unlink
+        left = [removed]
+
+        def unlink_until_killed(file, *arguments, **options):
+            if file.parent == path and file.exists():
+                left[0] -= 1
+                if left[0] < 0:
+                    raise KeyboardInterrupt
+            unlink(file, *arguments, **options)
+
+        monkeypatch.setattr(Path, "unlink", unlink_until_killed)
+        durable = DurableState(str(path), "127.0.0.1", lambda _: None)
+        with contextlib.suppress(KeyboardInterrupt):
+            durable._delete_files()
+        monkeypatch.undo()
+        second = open_folder(path, None)
+        was_touched = removed > 0
+        assert (second.member_id != first.member_id) == was_touched
+        assert (second.founders is None) == was_touched
+
+
 class TestEntries:
     """The number of entries is restored after a restart."""
 
