Founders are stored before a folder has its identity

A control group could never be founded if the first start of a majority was killed between two files of the folder, and an instance whose format file was damaged could found a group although it may have belonged to one.

The founders are written before the format, which creates the identity, and are dropped after any damage. A new folder may hold only what such a start leaves. This replaces the founders being remembered in the process after a full disk.

--- a/greengagemoor/serving/durable_state.py
+++ b/greengagemoor/serving/durable_state.py
@@ -84,7 +84,6 @@
         self._owner = owner
         self._put = put
         self._founders = founders
-        self._first_identity: str | None = None
         self._writer: DiskWriter | None = None
         self._folder: DataFolder | None = None
 
@@ -110,6 +109,8 @@
                 # under a new identity.
                 log.event("disk_damaged", level="ERROR", reason=exc)
                 is_damaged = True
+                # The member may have belonged to a group.
+                self._founders = None
             except Exception as exc:
                 log.event(
                     "disk_unusable",
@@ -131,40 +132,34 @@
             raise
 
     def _open(self) -> Opened:
-        folder = DataFolder(self._path, self._owner)
+        initial = {}
+        if self._founders is not None:
+            initial[FOUNDERS] = json.dumps(self._founders).encode()
+        folder = DataFolder(self._path, self._owner, initial)
         store = Store(folder)
         try:
-            founders = self._store_founders(folder)
+            founders = self._load_founders()
             recovered = store.recover()
             writer = DiskWriter(store, self._put)
             writer.start()
         except Exception:
             store.close()
             raise
+        self._founders = None
         self._folder = folder
         self._writer = writer
         member_id = f"{self._owner}#{folder.format.identity}"
         log.event("disk_open", member=member_id, entries=len(recovered.entries))
         return Opened(member_id, recovered, founders)
 
-    def _store_founders(self, folder: DataFolder) -> dict[str, str] | None:
-        """Stores the founders in a new folder; returns the stored ones.
+    def _load_founders(self) -> dict[str, str] | None:
+        """Returns the founders that were stored with the folder.
 
         They are kept as long as the folder, since the settings name them at
         the first start only. Otherwise no instance could found the group if
         the first founder loses its disk and all instances are killed before
         the group exists.
         """
-        identity = folder.format.identity
-        if self._first_identity is None:
-            self._first_identity = identity
-            if not folder.is_new:
-                self._founders = None
-        if self._founders is not None and identity == self._first_identity:
-            data = json.dumps(self._founders).encode()
-            folder.write_atomically(FOUNDERS, data)
-        # Kept until here, as the disk may have been full.
-        self._founders = None
         path = self._path / FOUNDERS
         if not path.exists():
             return None
--- a/greengagemoor/storage/folder.py
+++ b/greengagemoor/storage/folder.py
@@ -14,6 +14,7 @@
 from greengagemoor.util import values
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from typing import IO
 
 FORMAT_VERSION = 1
@@ -43,10 +44,19 @@
 class DataFolder:
     """A locked folder of one instance; writes sync file and directory."""
 
-    def __init__(self, path: str | Path, owner: str):
+    def __init__(
+        self,
+        path: str | Path,
+        owner: str,
+        initial: Mapping[str, bytes] | None = None,
+    ):
         """Opens or makes the folder and takes its lock.
 
-        ``is_new`` is set if the folder was made now, with a new identity.
+        Args:
+            path: the folder.
+            owner: name of the instance that uses it.
+            initial: files that a new folder has before it has its identity;
+                none of any other name may exist then.
 
         Raises:
             FolderLockedError: another process holds the lock.
@@ -54,7 +64,7 @@
         """
         self.path = Path(path)
         self.path.mkdir(parents=True, exist_ok=True)
-        self.is_new = False
+        self._initial = initial or {}
         self._lock = self._take_lock()
         try:
             self.format = self._open_format(owner)
@@ -96,7 +106,11 @@
         return found
 
     def _make_format(self, file: Path, owner: str) -> FolderFormat:
-        existing = [p.name for p in self.path.iterdir() if p.name != LOCK_FILE]
+        # Left by a start that was killed before it created the identity.
+        allowed = {file.name, *self._initial}
+        allowed |= {LOCK_FILE, *(f"{name}.new" for name in allowed)}
+        names = {path.name for path in self.path.iterdir()}
+        existing = sorted(names - allowed)
         if existing:
             raise FolderMismatchError(
                 f"{self.path} has no {FORMAT_FILE} but contains {existing[:3]}"
@@ -104,10 +118,11 @@
         created = FolderFormat(
             FORMAT_VERSION, owner, os.urandom(IDENTITY_BYTES).hex()
         )
+        for name, data in self._initial.items():
+            self.write_atomically(name, data)
         self.write_atomically(
             file.name, json.dumps(attrs.asdict(created)).encode()
         )
-        self.is_new = True
         return created
 
     def write_atomically(self, name: str, data: bytes) -> None:
--- a/tests/test_serving/test_durable_state.py
+++ b/tests/test_serving/test_durable_state.py
@@ -25,7 +25,7 @@
 )
 from greengagemoor.serving.durable_state import FOUNDERS as FOUNDERS_FILE
 from greengagemoor.serving.hub_storage import HubStorage
-from greengagemoor.storage.folder import DataFolder
+from greengagemoor.storage.folder import FORMAT_FILE, DataFolder
 
 FOUNDERS = {"127.0.0.2": "127.0.0.2:7740", "127.0.0.3": "127.0.0.3:7740"}
 
@@ -91,6 +91,43 @@
         assert open_folder(tmp_path / "d", FOUNDERS).founders == FOUNDERS
         assert not errors
 
+    @pytest.mark.parametrize("files", range(4))
+    def test_stored_if_the_first_start_was_killed(
+        self, tmp_path, monkeypatch, files
+    ):
+        """Guards against a group that nobody may found.
+
+        The process is killed before, between or after the renamings of the
+        first files; the settings are the same at its next start.
+        """
+        rename = Path.rename
+        left = [files]
+
+        def rename_until_killed(path, target):
+            left[0] -= 1
+            if left[0] < 0:
+                raise KeyboardInterrupt
+            return rename(path, target)
+
+        monkeypatch.setattr(Path, "rename", rename_until_killed)
+        durable = DurableState(
+            str(tmp_path / "d"), "127.0.0.1", lambda _: None, FOUNDERS
+        )
+        with contextlib.suppress(KeyboardInterrupt):
+            durable._open()
+        monkeypatch.undo()
+        assert open_folder(tmp_path / "d", FOUNDERS).founders == FOUNDERS
+
+    @pytest.mark.parametrize("content", [None, b"{"])
+    def test_not_stored_after_a_lost_identity(self, tmp_path, content):
+        """The member may have belonged to a group, despite the settings."""
+        open_folder(tmp_path / "d", None)
+        path = tmp_path / "d" / FORMAT_FILE
+        path.unlink()
+        if content is not None:
+            path.write_bytes(content)
+        assert open_folder(tmp_path / "d", FOUNDERS).founders is None
+
 
 class TestEmptied:
     """A damaged folder is emptied in an order that a crash can't spoil."""
