The timeline shows why a process ended

Operators would see a process vanish from the timeline of recorded logs without a reason. process_failed is a new line; it is shown with its reason.

Evidence: the test failed before.

--- a/greengagemoor/log_analysis/timeline.py
+++ b/greengagemoor/log_analysis/timeline.py
@@ -23,6 +23,7 @@
     "link_down": ("peer",),
     "loop_blocked": ("for_s", "ran"),
     "task_failed": ("task", "reason"),
+    "process_failed": ("reason",),
     "disk_failed": ("reason",),
     "disk_unusable": ("reason",),
     "disk_damaged": ("reason",),
--- a/tests/test_log_analysis/test_explain_and_timeline.py
+++ b/tests/test_log_analysis/test_explain_and_timeline.py
@@ -73,6 +73,14 @@
         assert times == sorted(times)
         assert any("i-31" in x for x in timeline(recorded(), searchers=True))
 
+    def test_reason_of_a_failed_process(self):
+        """Guards against a process that ends without a reason."""
+        text = (
+            'time=1.0 level=ERROR instance=e1 event=process_failed reason="x"'
+        )
+        (shown,) = timeline(read_lines([text]), searchers=False)
+        assert "process_failed reason=x" in shown
+
     def test_document_behind(self):
         (text,) = disagreements(recorded(), 3.0)
         assert "entry-2 still has document 7, 9 was seen" in text
