Soak: full disks of control instances

Three faults limit the size of the files that a control process writes, from outside and without privileges: fill_disk (the process goes on, is killed and restarted, or must end after SIGTERM within the grace time), fill_disks_in_turn and fill_all_disks. The first two wait until a leader bears a loss; no disk is wiped meanwhile. The logs go through a pipe, which the limit does not apply to.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from greengagemoor import log
-from soak import faults
+from soak import checks, faults
 from soak.callers import SERVICES, WIDE_SERVICES, Caller, Operator
 from soak.cluster import DATA_CENTRES, Cluster
 from soak.crash_requests import (
@@ -27,26 +27,33 @@
 """Bounds each wait for a condition, at the start and after the faults."""
 RECOVERY_S = 8.0
 """Time without new faults before the recovery is checked."""
-MIN_SERVED_SHARE = 0.9
-"""Share of requests that are answered in full after the recovery."""
 
 
 class Run:
     """One seed: load, sequential and overlapping faults, then recovery.
 
     Attributes:
+        kinds: faults to choose from.
         crash_faults: number of searchers that faults have crashed so far.
         evacuating: data centres under evacuation by a fault.
         disk_loss: held while a fault decides on the loss of a disk.
         injected: names of the faults injected so far.
     """
 
-    def __init__(self, seed: int, seconds: float, folder: Path):
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        kinds: tuple = faults.ALL,
+        checkout: Path | None = None,
+    ):
         self.seed = seed
         self.seconds = seconds
+        self.kinds = kinds
         self.rng = random.Random(seed)
         self.cluster = Cluster(
-            folder, 10 + seed % 200, CONTROL_COUNT, ENTRY_COUNT
+            folder, 10 + seed % 200, CONTROL_COUNT, ENTRY_COUNT, checkout
         )
         self.caller = Caller(self.cluster, self.rng)
         self.operator = Operator(self.cluster, self.rng)
@@ -69,10 +76,8 @@
             for service in WIDE_SERVICES[len(SERVICES) :]:
                 for data_centre in DATA_CENTRES[:2]:
                     await self.add_searcher(service, data_centre=data_centre)
-            await self._wait_until(
-                self.operator.put, "no document was accepted"
-            )
-            await self._wait_until(
+            await self.wait_until(self.operator.put, "no document was accepted")
+            await self.wait_until(
                 self._is_served, "no request was served after the start"
             )
             tasks = [
@@ -86,10 +91,10 @@
             await asyncio.sleep(RECOVERY_S)
             for task in tasks:
                 task.cancel()
-            await self._check_recovered()
-            self._check_each_searcher_ran()
+            await checks.check_recovered(self)
+            checks.check_each_searcher_ran(self)
             self.caller.check_runs()
-            self.check_bookings_ran_once()
+            checks.check_bookings_ran_once(self)
             self.cluster.crash_requests.check()
             self.cluster.check_exits()
         finally:
@@ -100,23 +105,6 @@
                 searcher.stop()
         return self.cluster.violations
 
-    def check_bookings_ran_once(self) -> None:
-        """Checks that no booking ran twice.
-
-        Only ``s0`` serves bookings, tens of thousands in a run.
-        """
-        # Queries may be repeated; unlike bookings, they also run at other
-        # services.
-        queries = {key for key, name in self.cluster.runs if name != "s0"}
-        repeated = [
-            key
-            for (key, name), number in self.cluster.runs.items()
-            if name == "s0" and number > 1 and key not in queries
-        ]
-        self.cluster.violations += [
-            f"{key}: a booking ran more than once" for key in repeated
-        ]
-
     async def add_searcher(
         self,
         service: str,
@@ -143,7 +131,8 @@
         await searcher.start()
         self.searchers.append(searcher)
 
-    async def _wait_until(self, condition, violation: str) -> None:
+    async def wait_until(self, condition, violation: str) -> None:
+        """Waits for a condition; adds the violation if it does not occur."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + START_TIMEOUT_S
         while loop.time() < deadline:
@@ -196,38 +185,14 @@
         deadline = loop.time() + self.seconds
         pending = set()
         while loop.time() < deadline:
-            fault = self.rng.choice(faults.ALL)
+            fault = self.rng.choice(self.kinds)
             self.injected.append(f"{fault.__name__}")
             pending.add(asyncio.create_task(fault(self)))
             await asyncio.sleep(self.rng.uniform(0.3, 3.0))
         await asyncio.gather(*pending)
 
-    async def _check_recovered(self) -> None:
-        await self.caller.resolve_entries()
-        served = [
-            await self.caller.send_request("/all/") == 200 for _ in range(40)
-        ]
-        if sum(served) < MIN_SERVED_SHARE * len(served):
-            self.cluster.violations.append(
-                f"{sum(served)} of 40 served after the recovery"
-            )
-        await self._wait_until(
-            self._can_read, "no document was read after the recovery"
-        )
-        await self._wait_until(
-            self._all_controls_vote, "a control instance has no vote"
-        )
-
-    def _check_each_searcher_ran(self) -> None:
-        """Checks that each searcher has run a request since its start."""
-        for searcher in self.searchers:
-            if not searcher.own_runs:
-                violation = (
-                    f"{searcher.searcher_id} ran no request since its start"
-                )
-                self.cluster.violations.append(violation)
-
-    async def _can_read(self) -> bool:
+    async def can_read(self) -> bool:
+        """Whether a control instance returns the document."""
         return await self.operator.read() is not None
 
     async def control_gauges(self) -> list[dict[str, float]]:
@@ -235,25 +200,32 @@
         controls = self.cluster.of_role("control")
         return [await self.cluster.gauges(machine) for machine in controls]
 
-    async def _all_controls_vote(self) -> bool:
-        """Whether all control instances that run have a vote."""
-        metrics = await self.control_gauges()
-        return all(
-            values.get("voters", 0) >= len(metrics) for values in metrics
-        )
-
 
 async def _execute(
-    seed: int, seconds: float, folder: Path
+    seed: int, seconds: float, folder: Path, kinds: tuple, checkout: Path | None
 ) -> tuple[Run, list[str]]:
-    run = Run(seed, seconds, folder)
+    run = Run(seed, seconds, folder, kinds, checkout)
     return run, await run.execute()
 
 
-def run_seed(seed: int, seconds: float) -> list[str]:
-    """Runs one seed; keeps its logs if a guarantee was violated."""
+def run_seed(
+    seed: int,
+    seconds: float,
+    kinds: tuple = faults.ALL,
+    checkout: Path | None = None,
+) -> list[str]:
+    """Runs one seed; keeps its logs if a guarantee was violated.
+
+    Args:
+        seed: seed of all random choices.
+        seconds: time in which faults are injected.
+        kinds: faults to choose from.
+        checkout: folder of the code to run; the current folder if None.
+    """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    run, violations = asyncio.run(_execute(seed, seconds, folder))
+    run, violations = asyncio.run(
+        _execute(seed, seconds, folder, kinds, checkout)
+    )
     print(
         f"seed {seed}: {len(violations)} violations, answers "
         f"{dict(sorted(run.caller.statuses.items()))}, document "
@@ -277,11 +249,23 @@
     parser = argparse.ArgumentParser(prog="soak")
     parser.add_argument("--seeds", default="1-3", help="FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument(
+        "--faults", help="faults to choose from, separated by commas"
+    )
+    parser.add_argument(
+        "--checkout", type=Path, help="code to run; the current folder if unset"
+    )
     args = parser.parse_args()
+    names = args.faults.split(",") if args.faults else []
+    kinds = tuple(getattr(faults, name) for name in names) or faults.ALL
     log.configure_loguru("ERROR", "soak")
     first, _, last = args.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
-    broken = [seed for seed in seeds if run_seed(seed, args.seconds)]
+    broken = [
+        seed
+        for seed in seeds
+        if run_seed(seed, args.seconds, kinds, args.checkout)
+    ]
     print(f"{len(seeds)} seeds, broken: {broken or 'none'}")
     return 1 if broken else 0
 
--- a/soak/builds.py
+++ b/soak/builds.py
@@ -74,11 +74,11 @@
         for machine in self.cluster.machines:
             machine.process.wait()
             self.cluster.start(machine)
-        await self._wait_until(
+        await self.wait_until(
             self._is_served, "no request was served after a restart"
         )
-        await self._wait_until(
-            self._can_read, "no document was read after a restart"
+        await self.wait_until(
+            self.can_read, "no document was read after a restart"
         )
 
     async def run_evacuation(self) -> None:
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -5,7 +5,6 @@
 import os
 import shutil
 import signal
-import subprocess
 import sys
 import time
 from collections import Counter
@@ -17,11 +16,13 @@
 from greengagemoor.aio.pool import Pool
 from greengagemoor.platform.boot import METRICS_PORT
 from greengagemoor.serving.metrics import PREFIX
+from soak import processes
 from soak.crash_requests import CrashRequests
 from soak.searchers import call
 
 if TYPE_CHECKING:
     import random
+    import subprocess
 
 DRAIN_LIMIT_S = 3.0
 """Time after an acknowledged drain in which sends may still arrive."""
@@ -45,6 +46,8 @@
         checkout: folder of the code that its process runs; the current folder
             if None.
         disturbed_at: monotonic time of the last start or signal.
+        write_limit: file size in bytes from which on its writes fail; None if
+            its disk is not full.
     """
 
     name: str
@@ -56,6 +59,7 @@
     bootstrap: bool = True
     starts: int = 0
     disturbed_at: float = float("-inf")
+    write_limit: int | None = None
 
     @property
     def data_centre(self) -> str:
@@ -74,8 +78,16 @@
         evacuated: start of each evacuation that is checked, by data centre.
     """
 
-    def __init__(self, folder: Path, net: int, controls: int, entries: int):
+    def __init__(
+        self,
+        folder: Path,
+        net: int,
+        controls: int,
+        entries: int,
+        checkout: Path | None = None,
+    ):
         self.folder = folder
+        self._checkout = checkout
         self.violations: list[str] = []
         self.runs: Counter = Counter()
         self.crash_requests = CrashRequests(self)
@@ -98,7 +110,7 @@
     def _machine(self, role: str, ip: str) -> Machine:
         folder = self.folder / f"{role}-{ip}"
         folder.mkdir(parents=True)
-        return Machine(f"{role}-{ip}", role, ip, folder)
+        return Machine(f"{role}-{ip}", role, ip, folder, self._checkout)
 
     def of_role(self, role: str) -> list[Machine]:
         """Returns the machines with a role."""
@@ -116,14 +128,14 @@
         machine.bootstrap = False
         machine.starts += 1
         machine.disturbed_at = time.monotonic()
-        with (machine.folder / "log").open("ab") as out:
-            machine.process = subprocess.Popen(
-                [sys.executable, "-m", "greengagemoor.platform", machine.role],
-                env={**os.environ, "GREENGAGEMOOR_BOOT": str(boot)},
-                cwd=machine.checkout,
-                stdout=out,
-                stderr=out,
-            )
+        machine.process = processes.start(
+            [sys.executable, "-m", "greengagemoor.platform", machine.role],
+            {**os.environ, "GREENGAGEMOOR_BOOT": str(boot)},
+            machine.checkout,
+            machine.folder / "log",
+        )
+        # Long before the interpreter has loaded the program.
+        processes.limit_writes(machine.process, machine.write_limit)
 
     def _write_settings(self, machine: Machine) -> Path:
         boot = machine.folder / "boot.conf"
@@ -154,6 +166,17 @@
             lines[f"listen-addrs.{name}"] = f"{machine.ip}:{PORTS[name]}"
         return "".join(f"{key}={value}\n" for key, value in lines.items())
 
+    def limit_writes(self, machine: Machine, size: int | None) -> None:
+        """Fills the disk of a machine, also for a process started later.
+
+        Args:
+            machine: the machine.
+            size: file size in bytes from which on writes fail; None for no
+                limit.
+        """
+        machine.write_limit = size
+        processes.limit_writes(machine.process, size)
+
     def kill(self, machine: Machine, *, wipe: bool = False) -> None:
         """Kills a process and starts it again; ``wipe`` empties its disk."""
         machine.process.kill()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,14 +7,12 @@
 from typing import TYPE_CHECKING
 
 from soak.cluster import DATA_CENTRES
+from soak.full_disks import fill_all_disks, fill_disk, fill_disks_in_turn
+from soak.tolerance import tolerates_disk_loss
 
 if TYPE_CHECKING:
     from soak.__main__ import Run
 
-LOSS_REPORTED_S = 1.0
-"""Time in which a leader reports a lost voter, which it counts as one until it
-has been silent for an election time."""
-
 
 async def kill(run: Run) -> None:
     """Kills any process; it is restarted at once."""
@@ -30,7 +28,7 @@
 async def lose_disk(run: Run) -> None:
     """Restarts a control instance with an empty disk, if the group allows."""
     async with run.disk_loss:
-        if await _tolerates_disk_loss(run):
+        if await tolerates_disk_loss(run):
             run.cluster.kill(
                 run.rng.choice(run.cluster.of_role("control")), wipe=True
             )
@@ -39,23 +37,10 @@
 async def replace_control(run: Run) -> None:
     """Replaces a control machine by an empty one, if the group allows."""
     async with run.disk_loss:
-        if await _tolerates_disk_loss(run):
+        if await tolerates_disk_loss(run):
             run.cluster.replace(run.rng.choice(run.cluster.of_role("control")))
 
 
-async def _tolerates_disk_loss(run: Run) -> bool:
-    """Whether the group tolerates a lost disk, also after recent losses."""
-    before = await _reports_tolerance(run)
-    await asyncio.sleep(LOSS_REPORTED_S)
-    return before and await _reports_tolerance(run)
-
-
-async def _reports_tolerance(run: Run) -> bool:
-    """Whether a leader reports that the group tolerates a lost disk."""
-    metrics = await run.control_gauges()
-    return any(values.get("losses_borne", 0) >= 1 for values in metrics)
-
-
 async def change_seeds(run: Run) -> None:
     """Changes the seeds in all settings while the processes run."""
     controls = run.cluster.of_role("control")
@@ -136,6 +121,9 @@
     kill_all_control,
     lose_disk,
     replace_control,
+    fill_disk,
+    fill_disks_in_turn,
+    fill_all_disks,
     change_seeds,
     freeze,
     terminate_entry,
