--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,8 @@
 from soak.searchers import Searcher
 
 CONTROL_COUNT, ENTRY_COUNT = 3, 6
+FILE_LOG_INTERVAL = 4
+"""Every this many seeds the logs are on the disks that faults fill."""
 START_TIMEOUT_S = 15.0
 """Bounds each wait for a condition, at the start and after the faults."""
 RECOVERY_S = 8.0
@@ -55,6 +57,7 @@
         self.cluster = Cluster(
             folder, 10 + seed % 200, CONTROL_COUNT, ENTRY_COUNT, checkout
         )
+        self.cluster.pipes_logs = seed % FILE_LOG_INTERVAL != 0
         self.caller = Caller(self.cluster, self.rng)
         self.operator = Operator(self.cluster, self.rng)
         self.searchers: list[Searcher] = []
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -76,6 +76,7 @@
         runs: number of runs by request id and service.
         crashed: searchers that a request crashed, to be restarted.
         evacuated: start of each evacuation that is checked, by data centre.
+        pipes_logs: whether logs are written although a disk is full.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         checkout: Path | None = None,
     ):
         self.folder = folder
+        self.pipes_logs = True
         self._checkout = checkout
         self.violations: list[str] = []
         self.runs: Counter = Counter()
@@ -133,6 +135,7 @@
             {**os.environ, "GREENGAGEMOOR_BOOT": str(boot)},
             machine.checkout,
             machine.folder / "log",
+            is_piped=self.pipes_logs,
         )
         # Long before the interpreter has loaded the program.
         processes.limit_writes(machine.process, machine.write_limit)
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -17,17 +17,18 @@
     env: dict[str, str],
     folder: Path | None,
     log_path: Path,
+    *,
+    is_piped: bool = True,
 ) -> subprocess.Popen:
     """Starts a process and appends its output to a file.
 
-    The output passes through a pipe, so that a limit of the writes of the
-    process does not apply to its log.
-
     Args:
         command: program and arguments.
         env: environment.
         folder: working directory; the current one if None.
         log_path: file that receives standard output and standard error.
+        is_piped: whether the output passes through a pipe, so that a limit of
+            the writes of the process does not apply to its log.
 
     Raises:
         OSError: the program cannot be started or the file not be opened.
@@ -38,9 +39,12 @@
         env=env,
         cwd=folder,
         bufsize=0,
-        stdout=subprocess.PIPE,
+        stdout=subprocess.PIPE if is_piped else out,
         stderr=subprocess.STDOUT,
     )
+    if not is_piped:
+        out.close()
+        return process
 
     def copy_output() -> None:
         with process.stdout, out:
--- a/tests/test_soak/test_full_disks.py
+++ b/tests/test_soak/test_full_disks.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import resource
+import signal
 import subprocess
 import sys
 import time
@@ -19,6 +20,7 @@
 CONTROL_COUNT = 3
 TIMEOUT_S = 20.0
 POLL_S = 0.1
+LOG_FLUSHED_S = 2.0
 
 
 def read_log(machine: Machine) -> bytes:
@@ -80,6 +82,41 @@
     return group.cluster.violations
 
 
+async def run_with_file_logs(folder: Path) -> list[object]:
+    """Returns whether the log continues, and the exit code of SIGTERM."""
+    group = Group(folder)
+    group.cluster.pipes_logs = False
+    machine = group.cluster.machines[0]
+
+    async def is_without_member() -> bool:
+        await group.operator.put()
+        gauges = await group.cluster.gauges(machine)
+        return gauges.get("member_open") == 0.0
+
+    async def has_exited() -> bool:
+        return machine.process.poll() is not None
+
+    try:
+        for other in group.cluster.machines:
+            group.cluster.start(other)
+        await group.wait_until(group.is_whole)
+        group.cluster.limit_writes(machine, 0)
+        await group.wait_until(is_without_member)
+        group.cluster.limit_writes(machine, None)
+        await group.wait_until(group.is_whole)
+        size = len(read_log(machine))
+        await group.wait_until(group.operator.put)
+        await asyncio.sleep(LOG_FLUSHED_S)
+        continues = len(read_log(machine)) > size
+        group.cluster.limit_writes(machine, 0)
+        await group.wait_until(is_without_member)
+        group.cluster.signal(machine, signal.SIGTERM)
+        await group.wait_until(has_exited)
+        return [continues, machine.process.returncode]
+    finally:
+        group.cluster.stop()
+
+
 class TestFullDisks:
     """A control instance is a member again once its disk accepts writes."""
 
@@ -92,6 +129,18 @@
         assert asyncio.run(run_group(tmp_path)) == []
 
 
+class TestLogOnFullDisk:
+    """The log of a control instance is a file on the disk that is full."""
+
+    def test_logs_again_and_stops_in_order(self, tmp_path):
+        """Guards against a failed write of the log that ends its flushing.
+
+        The instance then logged nothing any more, and SIGTERM ended it with an
+        error.
+        """
+        assert asyncio.run(run_with_file_logs(tmp_path)) == [True, 0]
+
+
 class TestLimitWrites:
     """Limit of the writes of a child process, set from outside."""
 
