Test of full disks: a timeout shows the ends of all logs

TestFullDisks failed once on the fixed code, at load 34 on 8 cores, in one run of three test files; its logs were gone, so the cause is open.

--- a/tests/test_soak/test_full_disks.py
+++ b/tests/test_soak/test_full_disks.py
@@ -59,9 +59,15 @@
     async def wait_until(self, condition) -> None:
         deadline = time.monotonic() + TIMEOUT_S
         while not await condition():
-            assert time.monotonic() < deadline, condition.__name__
+            assert time.monotonic() < deadline, self.describe(condition)
             await asyncio.sleep(POLL_S)
 
+    def describe(self, condition) -> str:
+        """Returns the name of a condition and the ends of all logs."""
+        logs = [read_log(m).decode() for m in self.cluster.machines]
+        lines = [line for text in logs for line in text.splitlines()[-40:]]
+        return "\n".join([condition.__name__, *lines])
+
     async def run(self) -> None:
         try:
             for machine in self.cluster.machines:
