Callers' bodies in many chunks use the memory of their bytes

Cause: as with searchers, each chunk was stored as an object, and a connection kept the body of its last request until the next one began.

Why this works: the body is stored in one byte array, and what is stored of a request is reset as it is handed to the handler.

--- a/greengagemoor/aio/connection.py
+++ b/greengagemoor/aio/connection.py
@@ -114,13 +114,12 @@
     def _reset_message(self) -> None:
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._header_size = 0
         self._body_size = 0
 
     def on_message_begin(self) -> None:
         """Starts a new request."""
-        self._reset_message()
         if self._started_at is None:
             self._started_at = self._loop.time()
 
@@ -160,7 +159,7 @@
         self._raw_head.add_body(len(body))
         if self._body_size > self._limits.body_bytes:
             raise _TooLargeError(413)
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Queues the request; dispatches it if none is in progress."""
@@ -168,10 +167,11 @@
             method=self._parser.get_method().decode("latin-1"),
             target=self._url.decode("latin-1"),
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             arrived_at=self._started_at or self._loop.time(),
             conn=self,
         )
+        self._reset_message()
         self._started_at = None
         self._request_ended = True
         req.is_first = not self._request_count
--- a/tests/test_aio/test_endless_input.py
+++ b/tests/test_aio/test_endless_input.py
@@ -490,6 +490,24 @@
         assert len(reqs) == 1
         assert read_bytes == len(read) + READ_BYTES * 8
 
+    def test_memory_of_small_chunks(self):
+        """Guards against an object for each chunk of two bytes."""
+        body_bytes = 131_072
+        read = b"2\r\nbb\r\n" * 2048
+
+        async def main():
+            conn = HttpConnection(Recorder(), Limits(), set())
+            conn.connection_made(FakeTransport())
+            conn.data_received(CHUNKED_REQUEST)
+            tracemalloc.start()
+            for _ in range(body_bytes // 4096):
+                conn.data_received(read)
+            used_bytes, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            return used_bytes
+
+        assert run(main()) < 2 * body_bytes
+
     def test_head_of_the_allowed_size(self):
         """The limit applies to the target and the headers, as before."""
         head = b"GET / HTTP/1.1\r\nA: %s\r\n\r\n" % (b"a" * 494)
