Each request ends if its address is malformed or its handler raises

A searcher that announces a malformed address left the requests to it, and the probes of it, without an end; a caller whose request made the handler raise waited on an open connection without a timeout.

A request to such an address now fails unsent, and such a caller gets a complete 500.

--- a/greengagemoor/aio/connection.py
+++ b/greengagemoor/aio/connection.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from greengagemoor.aio import sockets
+from greengagemoor.aio import background, sockets
 from greengagemoor.aio.head_size import HeadSize
 from greengagemoor.aio.requests import Handler, HttpRequest, Limits
 
@@ -185,10 +185,15 @@
     def _dispatch_next(self) -> None:
         if self._current is not None or not self._queue or self._closing:
             return
-        self._current = self._queue.popleft()
+        req = self._current = self._queue.popleft()
         if len(self._queue) < MAX_PIPELINED:
             self._transport.resume_reading()
-        self._handler.handle_request(self._current)
+        try:
+            self._handler.handle_request(req)
+        except Exception as exc:
+            # Nothing else would answer this request, or time it out.
+            background.log_failure("handle_request", exc)
+            self.reply(req, 500, close=True)
 
     # Replies.
 
--- a/greengagemoor/aio/pool.py
+++ b/greengagemoor/aio/pool.py
@@ -103,6 +103,9 @@
         except (OSError, TimeoutError):
             # Network partition or full backlog; the searcher may still run.
             done(False)
+        except Exception as exc:
+            background.log_failure(f"probe {address}", exc)
+            done(False)
         else:
             transport.abort()
             done(False)
@@ -126,6 +129,12 @@
             reason = f"connection failed: {type(exc).__name__}"
             done(HttpFailure(sent=False, stale=False, reason=reason))
             return
+        except Exception as exc:
+            # For instance a malformed address; the request must end as well.
+            background.log_failure(f"send to {address}", exc)
+            reason = f"connection failed: {type(exc).__name__}"
+            done(HttpFailure(sent=False, stale=False, reason=reason))
+            return
         sending.conn = conn
         conn.send(data, done, matches_request)
 
