Unsynced writes that survive a loss of power do not empty the folder

After a loss of power a control instance with an intact disk could empty its folder and join under a new identity; if that met a majority at once, the group and what it had acknowledged were gone.

Cause: a damaged record before an intact one was taken for damage to synced data. But each write since the last sync may be missing, torn or present by itself: a missing mark before a present record, or a torn record within one batch, was enough.

Only an intact mark proves that what lies before it was synced, since it is written after the sync; a start now also syncs before it writes its mark.

--- a/greengagemoor/storage/records.py
+++ b/greengagemoor/storage/records.py
@@ -12,6 +12,8 @@
 from greengagemoor.util import values
 
 MAGIC = b"GGM1"
+SYNC_MARK = b"M"
+"""Payload of a record before which everything has been synced."""
 _HEADER = struct.Struct(">4sII")
 MAX_RECORD_BYTES = 1 << 30
 """A header with a greater length counts as damaged."""
@@ -38,11 +40,12 @@
 def scan(data: bytes) -> Scan:
     """Reads all records of a file.
 
-    A crash during a write leaves a torn last record, which was never synced
-    and may be discarded. A damaged record followed by an intact one had been
-    synced: discarding it would lose a vote or an accepted document, and the
-    member could then help to elect a leader that lacks it. A mark record
-    follows each sync, so damage to any synced record but the very last is
+    After a loss of power each write since the last sync may be missing, torn
+    or present; what follows the first damage was never synced and may be
+    discarded. A mark is written after each sync, so a damaged record with an
+    intact mark behind it had been synced: discarding it would lose a vote or
+    an accepted document, and the member could then help to elect a leader that
+    lacks it. Damage to any synced record but those of the last sync is
     detected.
 
     Raises:
@@ -53,7 +56,7 @@
     while offset < len(data):
         payload = _read_at(data, offset)
         if payload is None:
-            _raise_if_followed(data, offset)
+            _raise_if_synced(data, offset)
             break
         payloads.append(payload)
         offset += _HEADER.size + len(payload)
@@ -73,11 +76,12 @@
     return payload
 
 
-def _raise_if_followed(data: bytes, damaged: int) -> None:
+def _raise_if_synced(data: bytes, damaged: int) -> None:
     position = data.find(MAGIC, damaged + 1)
     while position >= 0:
-        if _read_at(data, position) is not None:
+        if _read_at(data, position) == SYNC_MARK:
             raise CorruptRecordError(
-                f"damaged record at byte {damaged}, followed by an intact one"
+                f"damaged record at byte {damaged}, synced before byte "
+                f"{position}"
             )
         position = data.find(MAGIC, position + 1)
--- a/greengagemoor/storage/store.py
+++ b/greengagemoor/storage/store.py
@@ -26,7 +26,6 @@
 # Kind of a record: the first byte of its payload.
 HARD = b"H"
 ENTRY = b"E"
-MARK = b"M"
 SNAPSHOT = b"S"
 USED_FILE = "USED"
 """Its presence tells a folder whose journal is lost from a new one."""
@@ -123,7 +122,9 @@
         self._journal = path.open("r+b")
         self._journal.truncate(good_bytes)
         self._journal.seek(good_bytes)
-        self._journal.write(records.frame(MARK))
+        # A process that was killed may have left records without a sync.
+        self._sync()
+        self._journal.write(records.frame(records.SYNC_MARK))
         self._sync()
 
     def _remove_older(self) -> None:
@@ -149,7 +150,7 @@
             for operation in operations:
                 self._write_one(operation)
             self._sync()
-            self._journal.write(records.frame(MARK))
+            self._journal.write(records.frame(records.SYNC_MARK))
             self._journal.flush()
         except Exception as exc:
             # After any error it is unknown which records the file has.
@@ -180,7 +181,8 @@
     def _start_generation(self, generation: int, payloads: list[bytes]) -> None:
         """Makes a journal; the file is renamed into place once it is synced."""
         path = self._journal_path(generation)
-        framed = [records.frame(payload) for payload in [MARK, *payloads, MARK]]
+        mark = records.SYNC_MARK
+        framed = [records.frame(payload) for payload in [mark, *payloads, mark]]
         self._folder.write_atomically(path.name, b"".join(framed))
         self._generation = generation
         self._journal = path.open("r+b")
--- a/tests/test_storage/test_store.py
+++ b/tests/test_storage/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import itertools
 import os
 from pathlib import Path
 
@@ -21,8 +22,10 @@
     FolderMismatchError,
     SyncFailedError,
 )
+from greengagemoor.storage import records
 from greengagemoor.storage.folder import DataFolder
 from greengagemoor.storage.store import Store
+from greengagemoor.wire import codec
 
 HARD = HardState("group-1", 3, "c1#x")
 
@@ -352,3 +355,66 @@
         assert max(sizes) < 2 * min(sizes)
         found = reopen(tmp_path)
         assert found.snapshot.index == 500
+
+
+class TestLossOfPower:
+    """Each write since the last sync may be missing, torn or present."""
+
+    @pytest.mark.parametrize("batches", [(1, 1), (3,), (1, 2)])
+    def test_synced_records_survive_any_unsynced_ones(self, tmp_path, batches):
+        """Guards against a folder that is emptied although nothing is lost.
+
+        The writes of some batches, with the mark before them, reach the disk
+        in any combination; none of them was synced.
+        """
+        path = tmp_path / "d"
+        write_journal(path, 2)
+        mark = records.frame(records.SYNC_MARK)
+        synced = journal(path).read_bytes().removesuffix(mark)
+        numbers = itertools.count(3)
+        writes = [mark]
+        for size in batches:
+            writes += [
+                records.frame(b"E" + codec.encode(entry))
+                for entry in entries(*itertools.islice(numbers, size))
+            ]
+        for states in itertools.product("mtp", repeat=len(writes)):
+            journal(path).write_bytes(synced + leave(writes, states))
+            found = reopen(path)
+            assert found.hard == HARD
+            assert found.entries[:2] == entries(1, 2)
+            assert len(found.entries) <= 2 + sum(batches)
+
+    def test_mark_is_written_after_a_sync(self, tmp_path, monkeypatch):
+        """Guards against a mark behind records that were never synced.
+
+        A killed process left unsynced records, which its successor reads.
+        """
+        write_journal(tmp_path)
+        sizes = []
+        real = os.fsync
+
+        def fsync(descriptor):
+            sizes.append(os.fstat(descriptor).st_size)
+            real(descriptor)
+
+        size = journal(tmp_path).stat().st_size
+        monkeypatch.setattr(os, "fsync", fsync)
+        store = open_store(tmp_path)
+        store.recover()
+        store.close()
+        assert size in sizes
+
+
+def leave(writes, states):
+    """Returns what a loss of power leaves of unsynced writes.
+
+    Args:
+        writes: the records, in order.
+        states: for each, ``m`` missing, ``t`` torn or ``p`` present.
+    """
+    kept = []
+    for write, state in zip(writes, states, strict=True):
+        size = {"m": 0, "t": len(write) // 2, "p": len(write)}[state]
+        kept.append(write[:size] + bytes(len(write) - size))
+    return b"".join(kept)
