An append is bounded by bytes as well as by entries

A control instance that lagged by many large documents, or joined with an empty folder, could never catch up: an append of 256 entries may exceed the limit on frames, the receiver closed the link, and the leader sent the same entries again.

Up to 2 MiB of documents go into one append, at least one entry. Found by a reviewer: 256 documents of 100 KB give 25.6 MB, the limit is 16.8 MB.

--- a/greengagemoor/control/log.py
+++ b/greengagemoor/control/log.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+import itertools
 from itertools import dropwhile
 from typing import TYPE_CHECKING
 
-from greengagemoor.control.commands import ChangeMembers, LogEntry
+from greengagemoor.control.commands import (
+    ApplyDocument,
+    ChangeMembers,
+    LogEntry,
+    PutDocument,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from greengagemoor.control.commands import Member
 
+MAX_ENTRIES_PER_APPEND = 256
+MAX_APPEND_BYTES = 2_097_152
+"""Bound on the documents in one append, whose frame has a bound as well: a
+member that lags by many large documents could never receive them at once."""
+
 
 class Log:
     """Entries from ``first_index`` on; a snapshot covers earlier ones."""
@@ -59,6 +70,18 @@
         offset = start - self.first_index
         return tuple(self._entries[offset : offset + limit])
 
+    def slice_for_append(self, start: int) -> tuple[LogEntry, ...]:
+        """Returns the entries from ``start`` on that one append carries.
+
+        They are at least one, if there is any, at most
+        ``MAX_ENTRIES_PER_APPEND``, and together not above
+        ``MAX_APPEND_BYTES`` unless a single one is.
+        """
+        entries = self.slice(start, MAX_ENTRIES_PER_APPEND)
+        sizes = itertools.accumulate(_document_size(e) for e in entries)
+        fitting = sum(size <= MAX_APPEND_BYTES for size in sizes)
+        return entries[: max(1, fitting)]
+
     def append(self, entry: LogEntry) -> None:
         """Adds the next entry."""
         self._entries.append(entry)
@@ -105,3 +128,13 @@
             ),
             self._base_index,
         )
+
+
+def _document_size(entry: LogEntry) -> int:
+    """Returns the bytes of an entry's document, 0 if it has none."""
+    command = entry.command
+    if isinstance(command, PutDocument):
+        return len(command.packed)
+    if isinstance(command, ApplyDocument):
+        return len(command.text.encode())
+    return 0
--- a/greengagemoor/control/replication.py
+++ b/greengagemoor/control/replication.py
@@ -24,7 +24,6 @@
     from greengagemoor.control.commands import LogEntry
     from greengagemoor.control.state import Progress, State
 
-MAX_ENTRIES_PER_APPEND = 256
 MIN_SNAPSHOT_INTERVAL = 1000
 """Least number of applied entries between two snapshots."""
 ENTRIES_KEPT_BEFORE_SNAPSHOT = 200
@@ -44,7 +43,7 @@
     if progress.next_index < state.log.first_index:
         _send_snapshot(state, member_id, progress)
         return
-    entries = state.log.slice(progress.next_index, MAX_ENTRIES_PER_APPEND)
+    entries = state.log.slice_for_append(progress.next_index)
     prev_index = progress.next_index - 1
     request = AppendRequest(
         group=state.group,
