--- a/bench/mutants_of_recovery.py
+++ b/bench/mutants_of_recovery.py
@@ -67,13 +67,69 @@
         RECOVERY,
     ),
     Mutant(
-        "folder: founders are kept until they are stored",
+        "recovery: the stored state comes first",
+        "serving/control.py",
+        "msgs.sort(key=lambda msg: not isinstance(msg, control.Recovered))",
+        "pass",
+        RECOVERY,
+    ),
+    Mutant(
+        "recovery: a failed write comes before the step",
+        "serving/control.py",
+        "        if any("
+        "isinstance(msg, control.PersistFailed) for msg in batch):\n"
+        "            self._restart_member()\n"
+        "        try:\n",
+        "        try:\n",
+        RECOVERY,
+    ),
+    Mutant(
+        "folder: founders come before the identity",
+        "storage/folder.py",
+        "        for name, data in self._initial.items():\n"
+        "            self.write_atomically(name, data)\n",
+        "",
+        FOLDER,
+    ),
+    Mutant(
+        "folder: no founders after damage",
         "serving/durable_state.py",
-        "            folder.write_atomically(FOUNDERS, data)\n",
-        "            founders, self._founders = self._founders, None\n"
-        "            folder.write_atomically(FOUNDERS, data)\n",
+        "                self._founders = None\n",
+        "",
         FOLDER,
     ),
+    Mutant(
+        "folder: the identity goes first",
+        "serving/durable_state.py",
+        "        for name in (FORMAT_FILE, FOUNDERS):\n"
+        "            (self._path / name).unlink(missing_ok=True)\n",
+        "",
+        FOLDER,
+    ),
+    Mutant(
+        "folder: only a mark proves a sync",
+        "storage/records.py",
+        "if _read_at(data, position) == SYNC_MARK:",
+        "if _read_at(data, position) is not None:",
+        STORE,
+    ),
+    Mutant(
+        "folder: a mark follows a sync at the start too",
+        "storage/store.py",
+        "        self._sync()\n"
+        "        self._journal.write(records.frame(records.SYNC_MARK))\n"
+        "        self._sync()\n",
+        "        self._journal.write(records.frame(records.SYNC_MARK))\n"
+        "        self._sync()\n",
+        STORE,
+    ),
+    Mutant(
+        "folder: any error closes the store",
+        "storage/store.py",
+        "        except Exception as exc:\n            # After any error",
+        "        except OSError as exc:\n            # After any error",
+        STORE,
+    ),
     Mutant(
         "folder: rows that were not stored are stored later",
         "serving/durable_state.py",
--- a/greengagemoor/serving/durable_state.py
+++ b/greengagemoor/serving/durable_state.py
@@ -91,8 +91,8 @@
         """Opens the folder; retries until the disk accepts writes.
 
         A folder that is damaged, or has another owner or format, is emptied and
-        opened as a new one. No error ends the attempts: without its folder the
-        instance answers nobody.
+        opened as a new one. No error ends the attempts: an instance without
+        an open folder answers no requests.
         """
         loop = asyncio.get_running_loop()
         is_damaged = False
--- a/greengagemoor/serving/ticker.py
+++ b/greengagemoor/serving/ticker.py
@@ -16,8 +16,7 @@
 
 MAX_SLEEP_S = 0.5
 BLOCKED_S = 0.3
-"""Least delay of other work that is logged: twice the interval of a leader's
-heartbeats."""
+"""Least delay of other work that is logged."""
 FAILED_LINES_PER_S = 2.0
 FAILED_LINES_BURST = 20.0
 
--- a/tests/test_serving/test_recovery.py
+++ b/tests/test_serving/test_recovery.py
@@ -189,7 +189,7 @@
 
     @pytest.mark.parametrize("error", [RuntimeError, MemoryError, KeyError])
     def test_opening_is_tried_again(self, tmp_path, monkeypatch, error):
-        """Guards against a member that never starts after an odd error."""
+        """Guards against a member that an unexpected error keeps out."""
         errors = [error("once"), error("twice")]
         make = DataFolder.__init__
 
