--- a/greengagemoor/aio/connection.py
+++ b/greengagemoor/aio/connection.py
@@ -10,7 +10,7 @@
 import httptools
 
 from greengagemoor.aio import background, sockets
-from greengagemoor.aio.head_size import HeadSize
+from greengagemoor.aio.head_size import HeadSize, RequestTooLargeError
 from greengagemoor.aio.requests import Handler, HttpRequest, Limits
 
 if TYPE_CHECKING:
@@ -91,13 +91,13 @@
         try:
             self._parser.feed_data(data)
             self._count_raw_head(len(data))
-        except _TooLargeError as exc:
+        except RequestTooLargeError as exc:
             self._reject(exc.status)
         except httptools.HttpParserUpgrade:
             self._reject(400)
         except httptools.HttpParserError as exc:
             cause = exc.__context__
-            too_large = isinstance(cause, _TooLargeError)
+            too_large = isinstance(cause, RequestTooLargeError)
             self._reject(cause.status if too_large else 400)
 
     def _count_raw_head(self, size: int) -> None:
@@ -107,7 +107,7 @@
         self._raw_head.add_received(size)
         limit = self._limits.header_bytes + REQUEST_LINE_BYTES
         if self._raw_head.size > limit:
-            raise _TooLargeError(431)
+            raise RequestTooLargeError(431)
 
     # Parser callbacks.
 
@@ -136,7 +136,7 @@
     def _count_header(self, size: int) -> None:
         self._header_size += size
         if self._header_size > self._limits.header_bytes:
-            raise _TooLargeError(431)
+            raise RequestTooLargeError(431)
 
     def on_headers_complete(self) -> None:
         """Answers ``Expect: 100-continue`` and checks ``Content-Length``."""
@@ -147,7 +147,7 @@
             elif lower == b"content-length" and (
                 int(value) > self._limits.body_bytes
             ):
-                raise _TooLargeError(413)
+                raise RequestTooLargeError(413)
 
     def on_chunk_header(self) -> None:
         """Counts a chunk."""
@@ -158,7 +158,7 @@
         self._body_size += len(body)
         self._raw_head.add_body(len(body))
         if self._body_size > self._limits.body_bytes:
-            raise _TooLargeError(413)
+            raise RequestTooLargeError(413)
         self._body += body
 
     def on_message_complete(self) -> None:
@@ -296,9 +296,3 @@
             elif now - self._idle_since > self._limits.idle_timeout_s:
                 self.close()
         self._schedule_timeout_check()
-
-
-class _TooLargeError(Exception):
-    def __init__(self, status: int):
-        super().__init__(str(status))
-        self.status = status
--- a/greengagemoor/aio/head_size.py
+++ b/greengagemoor/aio/head_size.py
@@ -6,6 +6,14 @@
 """Framing of a chunk that does not count as head."""
 
 
+class RequestTooLargeError(Exception):
+    """A request exceeds a limit; it is answered with ``status``."""
+
+    def __init__(self, status: int):
+        super().__init__(str(status))
+        self.status = status
+
+
 class HeadSize:
     """Size of the head and the trailers that were received.
 
--- a/greengagemoor/serving/durable_state.py
+++ b/greengagemoor/serving/durable_state.py
@@ -115,7 +115,7 @@
                 log.event(
                     "disk_unusable",
                     level="ERROR",
-                    reason=f"{type(exc).__name__}: {exc}",
+                    reason=log.describe(exc),
                     where=log.where(exc),
                 )
             await asyncio.sleep(REOPEN_DELAY_S)
--- a/tests/test_serving/test_recovery.py
+++ b/tests/test_serving/test_recovery.py
@@ -119,6 +119,23 @@
         run(play())
         assert len(opened) == 1
 
+    def test_nothing_is_released_after_a_failed_write(self, tmp_path):
+        """Guards against an acknowledgement that waits for a lost write.
+
+        The failure and the sync of a later write arrive in the same tick.
+        """
+
+        async def play():
+            async with open_instance(tmp_path / "d") as app:
+                first, stepped = app._decider, []
+                first.step = lambda now, msgs: stepped.extend(msgs) or []
+                app._ticker.put(PersistFailed(1, "full"))
+                app._ticker.put(Persisted(2))
+                await member_of(app, first)
+                return stepped
+
+        assert run(play()) == []
+
 
 class TestFirstMessage:
     """A member knows its durable state before it handles a message."""
@@ -166,23 +183,6 @@
         assert not any(reply.granted for reply in replies)
         assert state.term == 9
 
-    def test_nothing_is_released_after_a_failed_write(self, tmp_path):
-        """Guards against an acknowledgement that waits for a lost write.
-
-        The failure and the sync of a later write arrive in the same tick.
-        """
-
-        async def play():
-            async with open_instance(tmp_path / "d") as app:
-                first, stepped = app._decider, []
-                first.step = lambda now, msgs: stepped.extend(msgs) or []
-                app._ticker.put(PersistFailed(1, "full"))
-                app._ticker.put(Persisted(2))
-                await member_of(app, first)
-                return stepped
-
-        assert run(play()) == []
-
 
 class TestUnexpectedErrors:
     """No error ends the attempts to open the folder."""
