Tests of the recovery that each mutant of it fails

Three mutants survived: a store whose close raises, two recoveries started beside each other, and a recovery that starts after a stop.

--- a/bench/mutant_list.py
+++ b/bench/mutant_list.py
@@ -173,7 +173,7 @@
     Mutant(
         "recovery: damage is refused",
         "storage/records.py",
-        "            _raise_if_followed(data, offset)\n",
+        "            _raise_if_synced(data, offset)\n",
         "",
         ("tests/test_storage",),
     ),
--- a/bench/mutants_of_recovery.py
+++ b/bench/mutants_of_recovery.py
@@ -16,7 +16,7 @@
         "                self._journal.close()\n"
         "        self._folder.close()\n",
         "            self._journal.close()\n        self._folder.close()\n",
-        RECOVERY,
+        STORE,
     ),
     Mutant(
         "recovery: any error is tried again",
--- a/tests/test_serving/test_recovery.py
+++ b/tests/test_serving/test_recovery.py
@@ -114,6 +114,7 @@
                 for op in (1, 2):
                     app._ticker.put(PersistFailed(op, "full"))
                     await asyncio.sleep(0)
+                    app._recovery.start()
                 await member_of(app, first)
 
         run(play())
@@ -360,11 +361,15 @@
             await stopping
             await app._durable.close()
             app._restart_member()
-            return app
+            return app, app._recovery.is_running
 
         before = set(threading.enumerate())
-        app = run(play())
-        assert app._durable._writer is None
-        assert not app._recovery.is_running
+        app, is_restarted = run(play())
         started = set(threading.enumerate()) - before
+        writer = app._durable._writer
+        if writer is not None:
+            # The thread of a failed test would keep the test run alive.
+            writer.stop()
+        assert writer is None
+        assert not is_restarted
         assert "disk" not in {thread.name for thread in started}
--- a/tests/test_storage/test_store.py
+++ b/tests/test_storage/test_store.py
@@ -27,6 +27,8 @@
 from greengagemoor.storage.store import Store
 from greengagemoor.wire import codec
 
+FULL_DISK = Path("/dev/full")
+"""A device whose writes all fail with ENOSPC."""
 HARD = HardState("group-1", 3, "c1#x")
 
 
@@ -211,6 +213,20 @@
         store.close()
         assert incomplete.exists()
 
+    def test_close_after_a_failed_write_releases_the_folder(self, tmp_path):
+        """Guards against a folder that stays locked after a full disk.
+
+        Closing the journal writes the rest of its buffer, which fails again.
+        """
+        store = open_store(tmp_path)
+        store.recover()
+        store._journal.close()
+        store._journal = FULL_DISK.open("r+b")
+        with pytest.raises(SyncFailedError):
+            store.write([Persist(1, hard=HARD)])
+        store.close()
+        reopen(tmp_path)
+
     def test_marked_as_used_once_the_disk_accepts_writes(
         self, tmp_path, monkeypatch
     ):
