Review: an extra answer with a spoiled id goes to another client

Three of five searchers send an extra copy of one answer in 34, late and with the line of its id spoiled.

--- a/review/parts_2/fleet.py
+++ b/review/parts_2/fleet.py
@@ -475,7 +475,7 @@
             f"{request_id}"
         )
         stamp = {"Server-Stamp": f"{self.id}.{request_id}"}
-        return self._reply(200, {**echo, **stamp}, b"found")
+        return self._reply(200, {**echo, **stamp}, make_body(request_id))
 
     def _reply(self, status: int, headers: dict, body: bytes) -> bytes:
         load = f"{self.running},0,{self.slots}"
@@ -546,6 +546,8 @@
 
     Attributes:
         answers: number of answers by status; None stands for none.
+        wrong: successes that are not the answer to their request: its id, the
+            stamp and the body.
     """
 
     def __init__(self, platform: Platform, path: str, per_s: float):
@@ -554,6 +556,7 @@
         self.path = path
         self.per_s = per_s
         self.answers: dict[int | None, int] = {}
+        self.wrong: list[tuple[str, str, bytes]] = []
         self._tasks: list[asyncio.Task] = []
 
     def start(self, clients_each: int = 2) -> None:
@@ -593,8 +596,10 @@
                         "",
                     ]
                     writer.write("\r\n".join(lines).encode())
-                    first, headers, _ = await read_message(reader)
+                    first, headers, body = await read_message(reader)
                     status = int(first.split()[1])
+                    if status == 200:
+                        self._check(request_id, headers, body)
                     if headers.get("connection") == "close":
                         writer.close()
                         streams = None
@@ -605,6 +610,19 @@
             self.answers[status] = self.answers.get(status, 0) + 1
             self.record.note(f"client {request_id} at {machine.name}: {status}")
 
+    def _check(self, request_id: str, headers: dict, body: bytes) -> None:
+        """Records a success that isn't the answer to this request."""
+        stamp = headers.get("server-stamp", "")
+        right = stamp.endswith(f".{request_id}")
+        if not right or body != make_body(request_id):
+            self.wrong.append((request_id, stamp, body))
+            self.record.note(f"WRONG {request_id} got {stamp} {body!r}")
+
+
+def make_body(request_id: str) -> bytes:
+    """Returns what a searcher finds for a request."""
+    return b"found " + request_id.encode()
+
 
 def single_route(version: int, service: str, kind: str = "safe") -> dict:
     """Returns a configuration with one route to one service."""
