--- a/review/parts_2/fleet.py
+++ b/review/parts_2/fleet.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -686,6 +687,8 @@
         could not run.
     """
     record = Record(folder / "record.txt")
+    # So that the processes are ended as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
 
@@ -694,7 +697,7 @@
                 return await main(record, trouble=trouble)
 
         broken = asyncio.run(limited())
-    except (CaseError, TimeoutError, OSError) as exc:
+    except Exception as exc:
         record.say(f"the case could not run: {exc!r}")
         return 2
     finally:
