An order is carried out only while its caller waits

The operator had sent the end of an earlier evacuation to a control instance that was suspended, had repeated it elsewhere, and had then ordered the evacuation anew. When the instance woke, it carried out the end.

Cause: an order names no state. The instance that reads it adds the number of the latest change, before the first attempt and again after a conflict, and never checked that the caller still waits.

Evidence: the line `operation` got two fields, `resubmissions` and `waiting`.

When the caller disconnects later, the operation is abandoned and no conflict is resubmitted.

A document's number, a searcher's start and sequence, and an apply's replaced version already make late orders of these kinds void.

--- a/greengagemoor/control/client.py
+++ b/greengagemoor/control/client.py
@@ -46,6 +46,17 @@
     member_id: str = ""
 
 
+@values.frozen
+class OperationAbandoned:
+    """The requester of an operation no longer waits for its result.
+
+    Attributes:
+        token: as in ``OperationRequest``.
+    """
+
+    token: object
+
+
 @values.frozen
 class Done:
     """The result of an ``OperationRequest``.
@@ -53,12 +64,15 @@
     Attributes:
         possibly_accepted: whether a leader may have accepted the operation
             although no definite reply came.
+        resubmissions: how often it was sent again with a newer number after a
+            conflict.
     """
 
     token: object
     kind: OpKind
     reply: OpReply
     possibly_accepted: bool = False
+    resubmissions: int = 0
 
 
 @attrs.define(eq=False, repr=False)
@@ -69,6 +83,17 @@
     resend_at: float = 0.0
     unanswered_sends: int = 0
     possibly_accepted: bool = False
+    resubmissions: int = 0
+
+    def done(self, reply: OpReply, *, possibly_accepted: bool = False) -> Done:
+        """Returns the result for the requester."""
+        return Done(
+            self.request.token,
+            self.request.kind,
+            reply,
+            possibly_accepted,
+            self.resubmissions,
+        )
 
 
 class ControlClient:
@@ -94,12 +119,23 @@
         self._ids = count(first_id)
 
     def step(self, now: float, msgs: Iterable[object]) -> list:
-        """Processes ``OperationRequest`` messages and ``Received`` replies."""
+        """Runs one tick.
+
+        Args:
+            now: seconds, by the clock of the deadlines.
+            msgs: ``OperationRequest``, ``OperationAbandoned`` and ``Received``
+                with a reply.
+
+        Returns:
+            ``Send`` and ``Done``.
+        """
         out: list = []
         for msg in msgs:
             if isinstance(msg, OperationRequest):
                 pending = _PendingOperation(msg, next(self._ids), resend_at=now)
                 self._pending[pending.op_id] = pending
+            elif isinstance(msg, OperationAbandoned):
+                self._abandon(msg.token, out)
             elif isinstance(msg, Received):
                 self._handle_reply(now, msg, out)
         for pending in list(self._pending.values()):
@@ -140,7 +176,20 @@
         else:
             self._leader = msg.sender
             del self._pending[reply.op_id]
-            out.append(Done(pending.request.token, pending.request.kind, reply))
+            out.append(pending.done(reply))
+
+    def _abandon(self, token: object, out: list) -> None:
+        """Ends an evacuation command whose operator no longer waits.
+
+        By now the operator may have given a newer command elsewhere, which a
+        resubmission would undo. Other operations are not resubmitted with
+        another number, so they may go on.
+        """
+        for pending in list(self._pending.values()):
+            request = pending.request
+            if request.token == token and request.kind is OpKind.EVACUATE:
+                del self._pending[pending.op_id]
+                out.append(self._expire(pending))
 
     def _resubmit(
         self, now: float, pending: _PendingOperation, number: int
@@ -152,6 +201,7 @@
         """
         command = attrs.evolve(pending.request.command, replaces=number)
         pending.request = attrs.evolve(pending.request, command=command)
+        pending.resubmissions += 1
         pending.unanswered_sends = 0
         pending.resend_at = now
 
@@ -205,9 +255,4 @@
         )
         code = Code.APPLY_UNKNOWN if possibly_accepted else Code.NOT_ACCEPTED
         reply = OpReply(pending.op_id, code)
-        return Done(
-            pending.request.token,
-            pending.request.kind,
-            reply,
-            possibly_accepted=possibly_accepted,
-        )
+        return pending.done(reply, possibly_accepted=possibly_accepted)
--- a/greengagemoor/log_fields.py
+++ b/greengagemoor/log_fields.py
@@ -31,6 +31,7 @@
     "difference_refused": "a document delta can't be applied; fetched in full",
     "evacuation": "the evacuation of a data centre begins or ends",
     "evacuation_refused": "an operator's order names an unknown data centre",
+    "order_discarded": "an operator's caller disconnected before its order ran",
     "operation": "an operator's put, read or evacuation has completed",
     "ready": "this entry has become ready for callers, or is no longer ready",
     "searcher": "this process's record of a searcher has changed",
@@ -120,6 +121,8 @@
     "entries": "log entries found in the data folder",
     "shards": "number of shards requested",
     "answered": "number of those shards that answered",
+    "resubmissions": "times an order was sent again after a conflicting one",
+    "waiting": "whether the caller still waited for the result",
     "number": "a count; of an evacuation: increases with each order",
     "for_s": "duration in seconds",
 }
--- a/greengagemoor/node.py
+++ b/greengagemoor/node.py
@@ -11,7 +11,12 @@
 from greengagemoor.claims import ClaimToken, ClaimTracker, OutcomeToken
 from greengagemoor.codes import Code
 from greengagemoor.control import messages as control
-from greengagemoor.control.client import ControlClient, Done, OperationRequest
+from greengagemoor.control.client import (
+    ControlClient,
+    Done,
+    OperationAbandoned,
+    OperationRequest,
+)
 from greengagemoor.control.decider import ControlDecider
 from greengagemoor.control.join_messages import SeedsChanged
 from greengagemoor.control.messages import OpKind, Received, Send
@@ -172,7 +177,7 @@
         elif isinstance(msg, RejectNewRequests):
             if self.query is not None:
                 self.query.close()
-        elif isinstance(msg, OperationRequest):
+        elif isinstance(msg, (OperationRequest, OperationAbandoned)):
             inboxes.client.append(msg)
         elif isinstance(msg, _QUERY_INPUTS):
             inboxes.query.append(msg)
@@ -221,11 +226,10 @@
         and gets into one only if its probes are answered.
         """
         if msg.address:
-            self._observed_addresses[msg.sender] = msg.address
-            while len(self._observed_addresses) > MAX_OBSERVED_ADDRESSES:
-                self._observed_addresses.pop(
-                    next(iter(self._observed_addresses))
-                )
+            addresses = self._observed_addresses
+            addresses[msg.sender] = msg.address
+            while len(addresses) > MAX_OBSERVED_ADDRESSES:
+                addresses.pop(next(iter(addresses)))
 
     def _address_of(self, name: str) -> str:
         state = self.membership.state
@@ -261,9 +265,7 @@
     query: deque = attrs.field(factory=deque)
 
     def any_left(self) -> bool:
-        return bool(
-            self.membership or self.control or self.client or self.query
-        )
+        return any((self.membership, self.control, self.client, self.query))
 
     def for_payload(self, payload: object) -> deque:
         if isinstance(payload, control.OpReply):
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import zlib
 from collections import deque
@@ -34,6 +35,7 @@
     EvacuationPage,
     OperatorCalls,
 )
+from greengagemoor.serving.pending_orders import PendingOrders
 from greengagemoor.serving.quarantine import QuarantinePage
 from greengagemoor.serving.quota_dealing import QuotaDealing
 from greengagemoor.serving.recovery import MemberRecovery, make_member
@@ -81,8 +83,9 @@
         self._linked_members: dict | None = None
         self._contacts: dict[str, str] = {}
         self._calls = OpenCalls()
+        orders = PendingOrders(asyncio.get_running_loop().call_later)
         self._operators = OperatorCalls(
-            cfg, dialect, self._calls, self._ticker.put, self.clock.now
+            cfg, dialect, self._calls, self._ticker.put, self.clock.now, orders
         )
         self.calls = ControlCalls(
             dialect,
@@ -100,7 +103,10 @@
         ]
         if cfg.metrics_address:
             page = QuarantinePage(
-                self._metrics, self._hub.suspects.table, self._ticker.put
+                self._metrics,
+                self._hub.suspects.table,
+                self._ticker.put,
+                orders,
             )
             pages = EvacuationPage(page, self._operators)
             self._servers.append(
--- a/greengagemoor/serving/control_calls.py
+++ b/greengagemoor/serving/control_calls.py
@@ -85,5 +85,5 @@
             open_calls.answer(req, self._dialect.write_unknown_call())
 
     def handle_disconnect(self, req: HttpRequest) -> None:
-        """Discards a call whose connection closed; its operation continues."""
-        self._calls.discard(req)
+        """Discards a call whose connection closed."""
+        self._operators.discard(req)
--- a/greengagemoor/serving/message_dispatch.py
+++ b/greengagemoor/serving/message_dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from greengagemoor.control import messages as control
-from greengagemoor.control.client import OperationRequest
+from greengagemoor.control.client import OperationAbandoned, OperationRequest
 from greengagemoor.control.join_messages import SeedsChanged
 from greengagemoor.feed import messages as feed
 from greengagemoor.quota import messages as quota
@@ -28,6 +28,7 @@
     feed.ClearSuspect,
 )
 
+_CLIENT_MESSAGES = (OperationRequest, OperationAbandoned)
 _DEALER_PAYLOADS = (quota.QuotaAsk, quota.TokenRequest, quota.TokenGrant)
 _DEALER_MESSAGES = (feed.LinkUp, feed.LinkDown)
 
@@ -50,7 +51,7 @@
     """Whether the client of the control group receives the message."""
     if isinstance(msg, control.Received):
         return isinstance(msg.payload, control.OpReply)
-    return isinstance(msg, OperationRequest)
+    return isinstance(msg, _CLIENT_MESSAGES)
 
 
 def is_for_dealer(msg: object) -> bool:
--- a/greengagemoor/serving/open_calls.py
+++ b/greengagemoor/serving/open_calls.py
@@ -65,6 +65,8 @@
             kind=msg.kind.value,
             code=int(code),
             version=msg.reply.version,
+            resubmissions=msg.resubmissions,
+            waiting=msg.token in self._waiting,
         )
         write = self._writers.pop(msg.token, None)
         if write is not None:
--- a/greengagemoor/serving/operators.py
+++ b/greengagemoor/serving/operators.py
@@ -8,7 +8,7 @@
 
 from greengagemoor import log
 from greengagemoor.codes import CODE_TABLE, Code
-from greengagemoor.control.client import OperationRequest
+from greengagemoor.control.client import OperationAbandoned, OperationRequest
 from greengagemoor.control.commands import PutDocument, SetEvacuation
 from greengagemoor.control.messages import OpKind
 from greengagemoor.errors import DocumentError
@@ -25,6 +25,7 @@
     from greengagemoor.control.messages import OpReply
     from greengagemoor.serving.dialect import Dialect
     from greengagemoor.serving.open_calls import OpenCalls
+    from greengagemoor.serving.pending_orders import PendingOrders
     from greengagemoor.serving.settings import ServingSettings
 
 OPERATION_TIMEOUT_S = 0.9
@@ -44,6 +45,7 @@
         pending_calls: OpenCalls,
         put: Callable[[object], None],
         now: Callable[[], float],
+        orders: PendingOrders,
     ):
         """Starts without a decider; ``decider`` is set once it exists.
 
@@ -51,9 +53,10 @@
             cfg: settings.
             dialect: reads documents and writes answers.
             pending_calls: holds each call until it is answered.
-            put: receives ``OperationRequest``.
+            put: receives ``OperationRequest`` and ``OperationAbandoned``.
             now: returns the time in seconds, by the clock of
                 ``OperationRequest``.
+            orders: carries out evacuations while their callers wait.
         """
         self.cfg = cfg
         self.decider: ControlDecider | None = None
@@ -61,6 +64,7 @@
         self._calls = pending_calls
         self._put = put
         self._now = now
+        self._orders = orders
 
     def handle_put(self, req: HttpRequest, call: calls.PutCall) -> None:
         """Submits a document to the control group, if it is valid."""
@@ -115,12 +119,32 @@
             call: the evacuation; its data centre must be valid.
             write: builds the reply.
         """
-        number = 0
-        if self.decider is not None:
-            table = self.decider.state.machine.evacuations
-            number = table.latest_number(call.data_centre)
-        command = SetEvacuation(call.data_centre, call.active, number, 0.0)
-        self._submit(req, OpKind.EVACUATE, write, command)
+        token = self._calls.open(req, write)
+        deadline = self._now() + OPERATION_TIMEOUT_S
+
+        def submit() -> None:
+            command = SetEvacuation(
+                call.data_centre,
+                call.active,
+                self._latest_number(call.data_centre),
+                0.0,
+            )
+            self._put(
+                OperationRequest(token, OpKind.EVACUATE, deadline, command)
+            )
+
+        self._orders.add(req, submit)
+
+    def _latest_number(self, data_centre: str) -> int:
+        """Returns the number of the latest change known to this instance.
+
+        An order is based on it only once its caller is known to wait: then a
+        newer order of the same caller has a higher number.
+        """
+        if self.decider is None:
+            return 0
+        table = self.decider.state.machine.evacuations
+        return table.latest_number(data_centre)
 
     def read(self, req: HttpRequest, write: Callable[[OpReply], Reply]) -> None:
         """Reads the state that a quorum confirms.
@@ -132,7 +156,13 @@
         self._submit(req, OpKind.READ_NUMBERED, write)
 
     def discard(self, req: HttpRequest) -> None:
-        """Discards a call whose connection closed; its operation continues."""
+        """Discards a call whose connection closed.
+
+        A put or a read under way continues; an evacuation is not submitted any
+        more.
+        """
+        self._orders.discard(req)
+        self._put(OperationAbandoned(req.token))
         self._calls.discard(req)
 
     def _submit(
@@ -193,7 +223,7 @@
             )
 
     def handle_disconnect(self, req: HttpRequest) -> None:
-        """Discards a call whose connection closed; its operation continues."""
+        """Discards a call whose connection closed."""
         self._operators.discard(req)
         self._next_handler.handle_disconnect(req)
 
--- a/greengagemoor/serving/quarantine.py
+++ b/greengagemoor/serving/quarantine.py
@@ -14,6 +14,7 @@
     from greengagemoor.aio.requests import Handler, HttpRequest
     from greengagemoor.feed.messages import SearcherKey, Suspect
     from greengagemoor.feed.suspects import SuspectTable
+    from greengagemoor.serving.pending_orders import PendingOrders
 
 QUARANTINE_PATH = "/quarantine"
 MAX_ROWS = 1000
@@ -33,6 +34,7 @@
         metrics: Handler,
         table: SuspectTable,
         put: Callable[[object], None],
+        orders: PendingOrders,
     ):
         """Puts the page in front of the metrics.
 
@@ -40,10 +42,12 @@
             metrics: answers all other paths.
             table: suspect requests, as this control instance has them.
             put: receives ``ClearSuspect``.
+            orders: clears requests while their callers wait.
         """
         self._metrics = metrics
         self._table = table
         self._put = put
+        self._orders = orders
 
     def handle_request(self, req: HttpRequest) -> None:
         """Answers a call."""
@@ -57,7 +61,8 @@
             _reply(req, 405, {"error": "expected GET or POST"})
 
     def handle_disconnect(self, req: HttpRequest) -> None:
-        """Does nothing: each call is answered at once."""
+        """Discards the order of a caller that disconnected."""
+        self._orders.discard(req)
 
     def _rows(self) -> list[dict[str, Any]]:
         rows = self._table.rows(Standing.QUARANTINED, Standing.SUSPECT)
@@ -72,8 +77,12 @@
         if self._table.get(fingerprint) is None:
             _reply(req, 404, {"error": "no request has this digest"})
             return
-        self._put(ClearSuspect(fingerprint))
-        _reply(req, 200, {"cleared": fingerprint.hex()})
+
+        def clear() -> None:
+            self._put(ClearSuspect(fingerprint))
+            _reply(req, 200, {"cleared": fingerprint.hex()})
+
+        self._orders.add(req, clear)
 
 
 def _row_to_json(row: Suspect) -> dict[str, Any]:
--- a/tests/test_control/test_evacuations.py
+++ b/tests/test_control/test_evacuations.py
@@ -12,7 +12,7 @@
 )
 
 from greengagemoor.codes import Code
-from greengagemoor.control.client import OperationRequest
+from greengagemoor.control.client import OperationAbandoned, OperationRequest
 from greengagemoor.control.commands import PutDocument, SetEvacuation
 from greengagemoor.control.evacuation_table import EvacuationTable
 from greengagemoor.control.evacuations import Evacuation, EvacuationView
@@ -148,6 +148,46 @@
         codes = {operator.wait(token).reply.code for token in tokens}
         assert codes == {Code.ACCEPTED}
 
+    def test_conflicting_command_is_not_resubmitted_for_nobody(
+        self, fleet, operator
+    ):
+        """Guards against a stale end that undoes a newer start."""
+        leader = fleet.leader()
+        other = followers(leader)[0]
+        assert operator.order(leader, "dc1", active=True)
+        fleet.run(1.0)
+        stale = operator.submit(other, "dc1", active=False)
+        fleet.cut_off(other)
+        assert operator.order(leader, "dc1", active=False)
+        assert operator.order(leader, "dc1", active=True)
+        fleet.put(other, OperationAbandoned(stale))
+        fleet.heal()
+        assert operator.wait(stale).reply.code != Code.ACCEPTED
+        fleet.run(2.0)
+        assert operator.active(leader) == {"dc1"}
+
+    @pytest.mark.parametrize("at_leader", [True, False])
+    def test_command_at_an_instance_that_freezes(
+        self, fleet, operator, at_leader
+    ):
+        """Guards against a stale end that an instance submits as it wakes."""
+        leader = fleet.leader()
+        follower, other = followers(leader)
+        frozen = leader if at_leader else follower
+        assert operator.order(leader, "dc1", active=True)
+        fleet.run(1.0)
+        fleet.freeze(frozen)
+        stale = operator.submit(frozen, "dc1", active=False, wait=30.0)
+        fleet.run(1.0)
+        assert operator.order(other, "dc1", active=False, wait=10.0)
+        assert operator.order(other, "dc1", active=True)
+        fleet.put(frozen, OperationAbandoned(stale))
+        fleet.run(0.1)
+        fleet.thaw(frozen)
+        fleet.run(3.0)
+        assert operator.result(stale).reply.code != Code.ACCEPTED
+        assert operator.active(other) == {"dc1"}
+
     def test_command_at_a_leader_that_is_cut_off(self, fleet, operator):
         """Guards against a command that takes effect after it failed."""
         leader = fleet.leader()
--- /dev/null
+++ b/tests/test_serving/test_abandoned_orders.py
@@ -0,0 +1,90 @@
+"""Orders that a control instance reads after their callers have given up."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from greengagemoor.aio import sockets
+from greengagemoor.control.client import OperationRequest
+from greengagemoor.control.messages import OpKind
+from greengagemoor.platform.dialect import PlatformDialect
+from greengagemoor.serving.control import ControlApp
+from greengagemoor.serving.settings import ServingSettings
+from tests.test_aio.helpers import run
+
+ORDER = b"POST /v1/evacuation/dc1/%s HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
+WAIT_S = 0.3
+
+
+def send_order(address, word):
+    """Sends an order on a new connection while the event loop stands still."""
+    sock = socket.create_connection(address)
+    sock.sendall(ORDER % word)
+    return sock
+
+
+async def submitted(play):
+    """Returns the evacuations that an instance submits to the group.
+
+    Args:
+        play: takes the instance's address, sends orders and returns the open
+            connections; nothing is read before it returns.
+    """
+    cfg = ServingSettings(
+        "127.0.0.2",
+        "dc1",
+        "127.0.0.2:7740",
+        (),
+        control_address="127.0.0.1:1",
+        data_centres=("dc1",),
+    )
+    app = ControlApp(cfg, PlatformDialect())
+    submitted = []
+    app._operators._put = submitted.append
+    listener = sockets.listen("127.0.0.1:0")
+    (server,) = app._servers
+    await server.start(listener)
+    connections = play(listener.getsockname())
+    await asyncio.sleep(WAIT_S)
+    for connection in connections:
+        connection.close()
+    server.stop_accepting()
+    await asyncio.sleep(0)
+    return [
+        msg.command.active
+        for msg in submitted
+        if isinstance(msg, OperationRequest) and msg.kind is OpKind.EVACUATE
+    ]
+
+
+class TestFrozenInstance:
+    """An instance wakes after its callers have gone elsewhere."""
+
+    @pytest.mark.parametrize("word", [b"start", b"finish"])
+    def test_order_of_a_closed_connection_is_not_carried_out(self, word):
+        """Guards against a stale order that undoes a newer one."""
+
+        def play(address):
+            send_order(address, word).close()
+            return []
+
+        assert run(submitted(play)) == []
+
+    def test_connection_that_ends_a_round_trip_after_its_order(self):
+        """Guards against a stale order that an interrupted network delivers."""
+
+        def play(address):
+            sock = send_order(address, b"finish")
+            asyncio.get_running_loop().call_later(0.01, sock.close)
+            return []
+
+        assert run(submitted(play)) == []
+
+    def test_order_whose_caller_waits_is_carried_out(self):
+        def play(address):
+            return [send_order(address, word) for word in (b"finish", b"start")]
+
+        assert sorted(run(submitted(play))) == [False, True]
