Drains and leaves are acknowledged once a majority has stored them

Cause: the acknowledgement waited for the memory of others, never for a disk. Rows were written once a second, those of searchers that had left not at all. After the restart the row from before made the searcher ready, and then lost, and a lost searcher is used as long as it answers.

Evidence: the entries' `searcher` lines after the restart show state=ready and state=lost with the sequence of before the leave, and never gone, so no late announcement revived it.

Why this works: an announcement that a searcher ends is acknowledged only when a majority of the group, by disks, has it (RowsTaken tells what its sender has stored), and each instance sends what it has stored after a restart. Without a majority in 0.6 s the answer is 503 and the searcher asks another instance.

Same cause: drains, and late announcements of searchers that had left before a restart (fixed here). Open: a request cleared from quarantine is stored up to a second after the answer; greengagemoord stores no drains.

--- a/bench/mutant_list.py
+++ b/bench/mutant_list.py
@@ -364,7 +364,7 @@
     Mutant(
         "joining: no drain that nobody hears",
         "feed/hub.py",
-        "return self._is_outside_group and not self._subscribers.entries()",
+        "return self._is_outside_group and not is_heard",
         "return False",
         ("tests/test_serving/test_control.py",),
     ),
--- a/greengagemoor/feed/announced.py
+++ b/greengagemoor/feed/announced.py
@@ -7,6 +7,7 @@
 import attrs
 
 from greengagemoor.feed.messages import SearcherRow, SearcherState
+from greengagemoor.feed.peer_rows import newer
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -70,7 +71,8 @@
         elapsed = LOST_AFTER_INTERVALS - RESTORED_GRACE_INTERVALS
         received_at = now - elapsed * self._announce_s
         for row in rows:
-            if row.searcher_id in self._tracked:
+            known = self._tracked.get(row.searcher_id)
+            if known is not None and newer(known.row, row) == known.row:
                 continue
             self._tracked[row.searcher_id] = _TrackedRow(row, received_at)
             self._by_address.setdefault(row.address, row.searcher_id)
--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -15,11 +15,13 @@
 )
 from greengagemoor.feed import helper_selection
 from greengagemoor.feed import messages as m
+from greengagemoor.feed.acknowledgements import PendingAcknowledgements
 from greengagemoor.feed.announced import (
     ENDED_RETENTION_S,
     LOST_AFTER_INTERVALS,
     AnnouncedRows,
 )
+from greengagemoor.feed.departures import Departures
 from greengagemoor.feed.directory import EntryDirectory
 from greengagemoor.feed.history import DocumentHistory
 from greengagemoor.feed.messages import SearcherState
@@ -53,9 +55,14 @@
             name: name of this control instance.
         """
         self._timing = timing
+        self._name = name
         self._subscription = m.Subscribe(name, "", "", ready=False)
         self._own_rows = AnnouncedRows(timing.announce)
         self._subscribers = Subscribers()
+        self._departures = Departures(ENDED_RETENTION_S)
+        self._acknowledgements = PendingAcknowledgements(
+            self._subscribers, self._departures
+        )
         self._directory = EntryDirectory(name)
         self._places = PlaceDistributor(self._subscribers)
         self._number = 0
@@ -94,7 +101,8 @@
             now: seconds of a monotonic clock.
             msgs: ``SearcherAnnounced``, ``SearcherLeaving``, ``Received``,
                 ``LinkUp``, ``LinkDown``, ``NumberedDocumentAccepted``,
-                ``EvacuationsAccepted``, ``ClearSuspect``.
+                ``EvacuationsAccepted``, ``ClearSuspect``,
+                ``DeparturesStored``.
 
         Returns:
             ``Send``, ``AnnouncementAccepted``, ``AnnouncementRejected`` and
@@ -114,7 +122,7 @@
         """Returns when the next tick is due if no message arrives."""
         times = (
             self._sweep_at,
-            self._subscribers.next_release,
+            self._acknowledgements.next_release,
             self._places.next_wake,
         )
         return min(at for at in times if at is not None)
@@ -137,7 +145,10 @@
         return {
             "entries_linked": len(self._subscribers.entries()),
             "entries_ready": len(self._subscribers.ready()),
-            "acknowledgements_held": self._subscribers.held,
+            "acknowledgements_held": self._acknowledgements.held,
+            "acknowledgements_rejected_total": self._acknowledgements.rejected,
+            "departures": len(self._departures.rows()),
+            "departures_stored": float(self._departures.is_stored),
             **self.suspects.table.counts(),
             **self._directory.gauges(),
             **{f"searchers_{name}": n for name, n in states.items()},
@@ -149,6 +160,32 @@
         kept = tuple(r for r in self._own_rows.rows() if r.state is not gone)
         return m.SearcherRows(self._number, True, kept)
 
+    @property
+    def departures_version(self) -> int:
+        """Version of the departures; increases with each change."""
+        return self._departures.version
+
+    @property
+    def is_stored(self) -> bool:
+        """Whether the disk holds all departures."""
+        return self._departures.is_stored
+
+    def departures_to_store(self) -> m.SearcherRows:
+        """Returns the searchers that drain or have left, for a restart."""
+        return m.SearcherRows(self._number, True, self._departures.rows())
+
+    def restore_departures(
+        self, now: float, rows: Iterable[m.SearcherRow]
+    ) -> None:
+        """Restores the searchers that drain or have left.
+
+        This instance tells others of all of them, whichever instance they
+        announced themselves to: that one may have lost its disk.
+        """
+        rows = tuple(rows)
+        self._departures.restore(now, rows)
+        self._own_rows.restore(now, rows)
+
     @property
     def recent_entry_count(self) -> int:
         """Number of entries that share the limits of searchers and rules."""
@@ -233,12 +270,15 @@
             self._linked.discard(msg.name)
             self._subscribed.discard(msg.name)
             self._subscribers.drop(msg.name)
+            self._departures.drop_sender(msg.name)
         elif isinstance(msg, NumberedDocumentAccepted):
             self._handle_document(msg)
         elif isinstance(msg, EvacuationsAccepted):
             self._handle_evacuations(msg)
         elif isinstance(msg, m.ClearSuspect):
             self._out += self.suspects.clear(msg.fingerprint)
+        elif isinstance(msg, m.DeparturesStored):
+            self._out += self._departures.note_stored(msg.version)
 
     def _subscribe_to_peers(self) -> None:
         """Subscribes to other control instances, once per link."""
@@ -247,23 +287,34 @@
             self._out.append(Send(name, self._subscription))
 
     def _handle_announced(self, msg: m.SearcherAnnounced) -> None:
-        if self._has_no_audience():
+        row = msg.row
+        departs = row.state is SearcherState.DRAINING
+        if self._must_reject(departs=departs):
             self._out.append(m.AnnouncementRejected(msg.token))
             return
-        row = msg.row
         is_defined = self._services is None or row.service in self._services
-        if self._own_rows.announce(
+        is_changed = self._own_rows.announce(
             self._now, row, marks_previous_gone=is_defined
-        ):
-            self._delay_ack(msg.token)
+        )
+        # A late announcement of an earlier start changes nothing.
+        departs = departs and row.start == self._own_rows.start_of(
+            row.searcher_id
+        )
+        if is_changed or departs:
+            self._delay_ack(msg.token, departs=departs)
         else:
             self._out.append(m.AnnouncementAccepted(msg.token))
 
-    def _has_no_audience(self) -> bool:
-        return self._is_outside_group and not self._subscribers.entries()
+    def _must_reject(self, *, departs: bool) -> bool:
+        """Whether another instance must handle an announcement.
+
+        Outside a group, no entry may learn of it, and no majority stores it.
+        """
+        is_heard = bool(self._subscribers.entries()) and not departs
+        return self._is_outside_group and not is_heard
 
     def _handle_leaving(self, msg: m.SearcherLeaving) -> None:
-        if self._has_no_audience():
+        if self._must_reject(departs=True):
             self._out.append(m.AnnouncementRejected(msg.token))
             return
         start = msg.start
@@ -273,20 +324,22 @@
         if start is None:
             start = self._other_rows.start_of(msg.searcher_id)
         self._own_rows.leave(self._now, m.SearcherKey(msg.searcher_id, start))
-        self._delay_ack(msg.token)
+        self._delay_ack(msg.token, departs=True)
 
-    def _delay_ack(self, token: object) -> None:
-        """Delays an acknowledgement until all subscribers have the change."""
-        self._subscribers.delay_acknowledgement(
-            self._now, token, self._number + 1
-        )
+    def _delay_ack(self, token: object, *, departs: bool) -> None:
+        """Delays an acknowledgement until others have the change."""
+        changed = self._own_rows.changed
+        self._departures.note(self._now, changed)
+        number = self._number + bool(changed)
+        self._acknowledgements.add(self._now, token, number, departs=departs)
 
     def _handle_received(self, sender: str, payload: object) -> None:
         if isinstance(payload, m.Subscribe):
             self._handle_subscribe(sender, payload)
         elif isinstance(payload, m.SearcherRows):
             self._other_rows.merge(self._now, payload.rows)
-            self._out.append(Send(sender, m.RowsTaken(payload.number)))
+            taken = self._departures.note_received(self._now, sender, payload)
+            self._out.append(Send(sender, taken))
         elif isinstance(payload, m.SlowReport):
             self._handle_slow_report(payload)
         elif isinstance(payload, m.SuspectRows):
@@ -297,7 +350,7 @@
             )
             self._out.append(Send(sender, m.Helpers(chosen)))
         elif isinstance(payload, m.RowsTaken):
-            self._subscribers.note_taken(sender, payload.number)
+            self._subscribers.note_taken(sender, payload)
         elif (
             isinstance(payload, m.WantNumbered)
             and self._documents.number > payload.known_number
@@ -360,6 +413,7 @@
         """Marks silent searchers lost and removes expired records."""
         self._sweep_at = self._now + self._timing.announce / 4
         self._other_rows.sweep(self._now)
+        self._departures.sweep(self._now)
         for searcher in self._own_rows.sweep(self._now):
             self._slow_searchers.forget(searcher)
         self._subscribers.sweep(self._now)
@@ -373,6 +427,7 @@
         changed = tuple(self._own_rows.changed)
         if not changed:
             return
+        self._departures.note(self._now, changed)
         self._number += 1
         rows = m.SearcherRows(self._number, False, changed)
         self._own_rows.changed.clear()
@@ -380,5 +435,6 @@
             self._out.append(Send(name, rows))
 
     def _send_due_acks(self) -> None:
-        tokens = self._subscribers.due_acknowledgements(self._now, self._number)
-        self._out += [m.AnnouncementAccepted(token) for token in tokens]
+        self._out += self._acknowledgements.settle(
+            self._now, self._number, self._name, self._peer_names
+        )
--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -140,9 +140,15 @@
 
 @values.frozen
 class RowsTaken:
-    """Acknowledges all ``SearcherRows`` up to ``number``."""
+    """Acknowledges all ``SearcherRows`` up to ``number``.
+
+    Attributes:
+        stored: of these, the sender has stored the drains and leaves of all
+            rows up to this number; 0 from an entry.
+    """
 
     number: int
+    stored: int = 0
 
 
 @values.frozen
@@ -330,6 +336,13 @@
     token: object
 
 
+@values.frozen
+class DeparturesStored:
+    """The disk holds all drains and leaves up to ``version``."""
+
+    version: int
+
+
 @values.frozen
 class LinkUp:
     """A link to the instance ``name`` is established."""
--- a/greengagemoor/feed/subscribers.py
+++ b/greengagemoor/feed/subscribers.py
@@ -1,21 +1,16 @@
-"""Subscribers to rows, and the acknowledgements that wait for them."""
+"""Subscribers to rows, and what they have received."""
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
 
-from greengagemoor.util import values
-
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
-    from greengagemoor.feed.messages import Subscribe
+    from greengagemoor.feed.messages import RowsTaken, Subscribe
 
-MAX_ACK_DELAY_S = 0.6
-"""Longest delay of an acknowledgement; the announcing searcher waits 1 s."""
 ENTRY_RETENTION_S = 600.0
 """How long an entry counts for connection shares after its link closed."""
 
@@ -24,6 +19,7 @@
 class _Subscriber:
     subscribe: Subscribe
     taken: int = 0
+    stored: int = 0
 
     @property
     def is_entry(self) -> bool:
@@ -36,13 +32,6 @@
         return self.is_entry and self.subscribe.capacity > 0
 
 
-@values.frozen
-class _PendingAck:
-    token: object
-    number: int
-    until: float
-
-
 class Subscribers:
     """Entries and other control instances with a link to this one.
 
@@ -56,7 +45,6 @@
         self.entries_version = 0
         self._restored_entries = 0
         self._restored_until = float("-inf")
-        self._pending_acks: deque[_PendingAck] = deque()
 
     def __iter__(self) -> Iterator[str]:
         """Iterates over their names."""
@@ -101,43 +89,29 @@
         """Removes a subscriber whose link is closed."""
         self._rows.pop(name, None)
 
-    def note_taken(self, name: str, number: int) -> None:
-        """Records that a subscriber has received all rows up to a number."""
+    def note_taken(self, name: str, msg: RowsTaken) -> None:
+        """Records which rows a subscriber has received and stored."""
         subscriber = self._rows.get(name)
         if subscriber is not None:
-            subscriber.taken = max(subscriber.taken, number)
-
-    def delay_acknowledgement(
-        self, now: float, token: object, number: int
-    ) -> None:
-        """Delays an acknowledgement until all subscribers have a number.
-
-        A draining searcher stops serving some seconds after the
-        acknowledgement. An entry that had not received the change by then
-        would still send to it.
-        """
-        self._pending_acks.append(
-            _PendingAck(token, number, now + MAX_ACK_DELAY_S)
-        )
+            subscriber.taken = max(subscriber.taken, msg.number)
+            subscriber.stored = max(subscriber.stored, msg.stored)
 
-    def due_acknowledgements(self, now: float, number: int) -> list[object]:
-        """Returns the tokens of the acknowledgements that are due.
+    def taken_by_all(self, number: int) -> int:
+        """Returns the number of the rows that all have received.
 
         Args:
-            now: seconds.
-            number: number of the latest rows sent.
+            number: number of the latest rows sent, returned if there are no
+                subscribers.
         """
-        taken = min(
+        return min(
             (subscriber.taken for subscriber in self._rows.values()),
             default=number,
         )
-        tokens = []
-        while self._pending_acks:
-            first = self._pending_acks[0]
-            if first.number > taken and now < first.until:
-                break
-            tokens.append(self._pending_acks.popleft().token)
-        return tokens
+
+    def count_stored(self, names: Iterable[str], number: int) -> int:
+        """Counts the named subscribers that have stored all rows so far."""
+        found = (self._rows.get(name) for name in names)
+        return sum(row is not None and row.stored >= number for row in found)
 
     def sweep(self, now: float) -> None:
         """Stops counting entries that have been without a link for too long."""
@@ -154,16 +128,6 @@
         if now >= self._restored_until:
             self._restored_entries = 0
 
-    @property
-    def next_release(self) -> float | None:
-        """Latest time of the first pending acknowledgement; None if none."""
-        return self._pending_acks[0].until if self._pending_acks else None
-
-    @property
-    def held(self) -> int:
-        """Number of pending acknowledgements."""
-        return len(self._pending_acks)
-
     @property
     def recent_entry_count(self) -> int:
         """Number of entries linked recently, including those gone since."""
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -20,7 +20,7 @@
 from greengagemoor.feed import messages as feed
 from greengagemoor.feed.hub import FeedHub
 from greengagemoor.feed.timing import Timing as HubTiming
-from greengagemoor.serving import message_dispatch
+from greengagemoor.serving import message_dispatch, operator_pages
 from greengagemoor.serving.control_calls import ControlCalls
 from greengagemoor.serving.durable_state import DurableState
 from greengagemoor.serving.event_log import (
@@ -30,13 +30,8 @@
 )
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.open_calls import OpenCalls
-from greengagemoor.serving.operators import (
-    OPERATION_TIMEOUT_S,
-    EvacuationPage,
-    OperatorCalls,
-)
+from greengagemoor.serving.operators import OPERATION_TIMEOUT_S, OperatorCalls
 from greengagemoor.serving.pending_orders import PendingOrders
-from greengagemoor.serving.quarantine import QuarantinePage
 from greengagemoor.serving.quota_dealing import QuotaDealing
 from greengagemoor.serving.recovery import MemberRecovery, make_member
 from greengagemoor.serving.ticker import Ticker
@@ -74,7 +69,11 @@
             cfg.other_seeds if cfg.founds_group else None,
         )
         self._recovery = MemberRecovery(
-            self._durable, self._hub, self.clock, self._start_member
+            self._durable,
+            self._hub,
+            self.clock,
+            self._start_member,
+            self._ticker.put,
         )
         self._decider: ControlDecider | None = None
         self._state_log = ControlStateLog()
@@ -96,19 +95,18 @@
             self._operators,
         )
         self._metrics = ServingMetrics(self._gauges)
-        servers = {cfg.control_address, cfg.directory_address} - {""}
+        addresses = {cfg.control_address, cfg.directory_address} - {""}
         self._servers = [
-            HttpServer(address, self.calls, Limits())
-            for address in sorted(servers)
+            HttpServer(at, self.calls, Limits()) for at in sorted(addresses)
         ]
         if cfg.metrics_address:
-            page = QuarantinePage(
+            pages = operator_pages.make_pages(
                 self._metrics,
-                self._hub.suspects.table,
+                self._hub,
                 self._ticker.put,
+                self._operators,
                 orders,
             )
-            pages = EvacuationPage(page, self._operators)
             self._servers.append(
                 HttpServer(cfg.metrics_address, pages, Limits())
             )
@@ -120,8 +118,8 @@
         for server in self._servers:
             await server.start()
         self._recovery.start()
-        storage = self._recovery.storage
-        self._store_task = background.spawn("store", storage.run())
+        store = self._recovery.storage.run()
+        self._store_task = background.spawn("store", store)
 
     def _start_member(self, opened: Opened) -> None:
         member = make_member(opened, self.cfg, self._rng)
@@ -137,20 +135,18 @@
     async def stop(self) -> None:
         """Stops without aborting a call.
 
-        Accepts no connections and finishes open calls, each of which has a
-        time limit. Returns once all queued disk writes are synced.
+        Finishes open calls, each of which has a time limit, and all queued
+        disk writes.
         """
-        self._store_task.cancel()
         await self._recovery.stop()
         for server in self._servers:
             server.limits.closing = True
             server.stop_accepting()
         timeout_s = min(OPEN_CALLS_TIMEOUT_S, self.cfg.grace_s / 2)
         await drain(self._servers, timeout_s)
+        self._store_task.cancel()
         await self._durable.close()
 
-    # Ticks.
-
     def _tick(self, now: float, msgs: list) -> float | None:
         inbox = deque(msgs)
         first = True
@@ -177,6 +173,7 @@
             background.log_failure("member", exc)
             self._restart_member()
         out += self._hub.step(now, filter(message_dispatch.is_for_hub, batch))
+        self._recovery.storage.store_departures()
         out += self._client.step(
             now, filter(message_dispatch.is_for_client, batch)
         )
@@ -245,8 +242,7 @@
         try:
             table = self._dialect.read_document(zlib.decompress(msg.packed))
         except DocumentError as exc:
-            # Documents are validated before they are accepted; this one was
-            # validated by an instance of another release.
+            # It was validated by an instance of another release.
             log.event("document_unreadable", level="ERROR", reason=exc)
             return
         self._hub.set_services(frozenset(table.services))
@@ -292,11 +288,10 @@
         }
 
     def _restart_member(self) -> None:
-        """Restarts the member from its durable state once the disk works.
+        """Restarts the member once the disk works.
 
         After a failed write or step the content of the disk is unknown. A
-        member that stayed silent would reduce the number of failures that the
-        group tolerates by one.
+        silent member would reduce the losses that the group tolerates by one.
         """
         if self._recovery.is_running:
             return
--- a/greengagemoor/serving/durable_state.py
+++ b/greengagemoor/serving/durable_state.py
@@ -38,6 +38,7 @@
 REOPEN_DELAY_S = 0.5
 OWN_ROWS = "searchers.bin"
 OTHER_ROWS = "searchers-of-others.bin"
+DEPARTURES = "departures.bin"
 ENTRIES = "entries.bin"
 SUSPECTS = "suspects.bin"
 FOUNDERS = "FOUNDERS.json"
--- a/greengagemoor/serving/hub_storage.py
+++ b/greengagemoor/serving/hub_storage.py
@@ -5,8 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from greengagemoor.feed.messages import KnownPeers
+from greengagemoor.aio import background
+from greengagemoor.feed.messages import DeparturesStored, KnownPeers
 from greengagemoor.serving.durable_state import (
+    DEPARTURES,
     ENTRIES,
     OTHER_ROWS,
     OWN_ROWS,
@@ -14,35 +16,84 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from greengagemoor.feed.hub import FeedHub
     from greengagemoor.serving.durable_state import DurableState
 
 STORE_INTERVAL_S = 1.0
 """Seconds between checks for changes. A file is written only after a change: a
 few KB and a sync."""
+RETRY_S = 0.1
+"""Seconds from a failed write of departures to the next one."""
 
 
 class HubStorage:
     """Stores a hub's state in the data folder and restores it at a start."""
 
-    def __init__(self, hub: FeedHub, durable: DurableState):
+    def __init__(
+        self,
+        hub: FeedHub,
+        durable: DurableState,
+        put: Callable[[object], None],
+    ):
+        """Stores nothing yet.
+
+        Args:
+            hub: its state is stored.
+            durable: the data folder.
+            put: receives ``DeparturesStored``.
+        """
         self._hub = hub
         self._durable = durable
+        self._put = put
         self._stored: dict[str, int] = {}
         """Versions of the stored contents, by file name."""
+        self._departures_due = asyncio.Event()
 
     def restore(self, now: float) -> None:
         """Restores the hub from the state stored before the restart."""
         hub, durable = self._hub, self._durable
         hub.restore(now, durable.load_searchers(OWN_ROWS))
+        hub.restore_departures(now, durable.load_searchers(DEPARTURES))
         hub.restore_peer_rows(now, durable.load_searchers(OTHER_ROWS))
         hub.restore_entry_count(now, durable.load_entry_count())
         hub.suspects.restore(durable.load_suspects())
         # The folder may have been emptied, so all is written again.
         self._stored.clear()
+        self.store_departures()
+
+    def store_departures(self) -> None:
+        """Has the departures stored soon, if the disk does not hold them."""
+        if not self._hub.is_stored:
+            self._departures_due.set()
 
     async def run(self) -> None:
-        """Stores changes until it is cancelled."""
+        """Stores departures at once, and other changes, until cancelled."""
+        await asyncio.gather(self._run_departures(), self._run_interval())
+
+    async def _run_departures(self) -> None:
+        """Stores departures as they occur.
+
+        Those that occur during a write share the next one.
+        """
+        while True:
+            await self._departures_due.wait()
+            self._departures_due.clear()
+            version = self._hub.departures_version
+            content = self._hub.departures_to_store()
+            try:
+                is_stored = await self._durable.store(DEPARTURES, content)
+            except Exception as exc:
+                background.log_failure("departures", exc)
+                is_stored = False
+            if is_stored:
+                self._put(DeparturesStored(version))
+            else:
+                await asyncio.sleep(RETRY_S)
+                self._departures_due.set()
+
+    async def _run_interval(self) -> None:
         while True:
             await asyncio.sleep(STORE_INTERVAL_S)
             await self._store_changes()
--- a/greengagemoor/serving/message_dispatch.py
+++ b/greengagemoor/serving/message_dispatch.py
@@ -26,6 +26,7 @@
     control.NumberedDocumentAccepted,
     control.EvacuationsAccepted,
     feed.ClearSuspect,
+    feed.DeparturesStored,
 )
 
 _CLIENT_MESSAGES = (OperationRequest, OperationAbandoned)
--- a/greengagemoor/serving/recovery.py
+++ b/greengagemoor/serving/recovery.py
@@ -41,6 +41,7 @@
         hub: FeedHub,
         clock: Clock,
         start_member: Callable[[Opened], None],
+        put: Callable[[object], None],
     ):
         """Does nothing yet; ``start`` opens the folder.
 
@@ -49,8 +50,9 @@
             hub: its state is restored from the folder as well.
             clock: clock of the deciders.
             start_member: starts the member stored in an opened folder.
+            put: receives ``DeparturesStored``.
         """
-        self.storage = HubStorage(hub, durable)
+        self.storage = HubStorage(hub, durable, put)
         self._durable = durable
         self._clock = clock
         self._start_member = start_member
--- a/tests/test_feed/helpers.py
+++ b/tests/test_feed/helpers.py
@@ -24,15 +24,24 @@
 
 
 class HubBench:
-    """Steps a hub under a fake clock."""
+    """Steps a hub under a fake clock.
 
-    def __init__(self):
-        self.hub = FeedHub(Timing(ANNOUNCE_S))
+    Attributes:
+        has_disk: whether departures are stored in the step in which they occur.
+    """
+
+    def __init__(self, name=""):
+        self.hub = FeedHub(Timing(ANNOUNCE_S), name)
         self.now = 0.0
+        self.has_disk = True
 
     def step(self, *msgs, after=0.0):
         self.now += after
-        return self.hub.step(self.now, msgs)
+        out = self.hub.step(self.now, msgs)
+        if self.has_disk and not self.hub.is_stored:
+            stored = m.DeparturesStored(self.hub.departures_version)
+            out += self.hub.step(self.now, [stored])
+        return out
 
     def subscribe(self, name="e1"):
         msg = attrs.evolve(ENTRY, name=name)
--- a/tests/test_feed/test_hub.py
+++ b/tests/test_feed/test_hub.py
@@ -12,8 +12,8 @@
     Send,
 )
 from greengagemoor.feed import messages as m
+from greengagemoor.feed.acknowledgements import MAX_ACK_DELAY_S
 from greengagemoor.feed.messages import SearcherState
-from greengagemoor.feed.subscribers import MAX_ACK_DELAY_S
 from tests.test_feed.helpers import (
     ANNOUNCE_S,
     ENTRY,
@@ -185,7 +185,7 @@
 
     def test_new_entry_gets_all_rows(self):
         bench = self.linked()
-        assert Send("c2", m.RowsTaken(1)) in self.out
+        assert Send("c2", m.RowsTaken(1, 1)) in self.out
         assert set(rows_to(bench.subscribe())) == {ROW, self.OTHER}
 
     def test_other_instances_get_own_rows_only(self):
--- a/tests/test_serving/test_durable_state.py
+++ b/tests/test_serving/test_durable_state.py
@@ -210,7 +210,7 @@
             durable = DurableState(str(path), "127.0.0.1", lambda _: None)
             await durable.open()
             hub = FeedHub(Timing(1.0), "c1")
-            keeper = HubStorage(hub, durable)
+            keeper = HubStorage(hub, durable, lambda _: None)
             keeper.restore(0.0)
             for row in received:
                 hub.step(1.0, [Received("e1", SuspectRows((row,)))])
