A late announcement no longer ends the searcher at its address

Announcements of three crashed searchers, which a cut had held back, had arrived after the new ones had got their addresses.

Cause: whoever announced itself last at an address was taken for the one that runs, and the other one was marked gone, which is final at control instances and entries.

Evidence: the entries' `searcher` lines of the new searchers: state=ready sequence=1, and 1.6 s later state=gone sequence=1, nothing more.

Why this works: a displaced searcher is lost, which its next announcement undoes, and only a searcher ends itself for good. An announcement waits until the holder is silent if its sender was displaced there or reports an earlier start. A wrong guess is corrected by silence.

Three tests asserted `gone` for the displaced searcher, which is the fault. They assert `lost` now; that the late one does not come back, and which one is ready, is checked as before.

Same cause: late drains, restored rows, and the row of another control instance at which a searcher announced itself once: its `lost` had the last word at the entries. The home of the searcher now sends its row again. A test of any order of moves, restarts and late messages found that one.

--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -147,6 +147,7 @@
             "entries_ready": len(self._subscribers.ready()),
             "acknowledgements_held": self._acknowledgements.held,
             "acknowledgements_rejected_total": self._acknowledgements.rejected,
+            "addresses_contested_total": self._own_rows.contested,
             "departures": len(self._departures.rows()),
             "departures_stored": float(self._departures.is_stored),
             **self.suspects.table.counts(),
@@ -241,8 +242,8 @@
     def set_services(self, names: frozenset[str]) -> None:
         """Sets the services that the document in force defines.
 
-        An announcement may come from a writer that is no searcher. It marks
-        the previous searcher at its address gone only if its service is
+        An announcement may come from a writer that is no searcher. It
+        displaces the previous searcher at its address only if its service is
         defined.
         """
         self._services = names
@@ -294,7 +295,7 @@
             return
         is_defined = self._services is None or row.service in self._services
         is_changed = self._own_rows.announce(
-            self._now, row, marks_previous_gone=is_defined
+            self._now, row, may_displace=is_defined
         )
         # A late announcement of an earlier start changes nothing.
         departs = departs and row.start == self._own_rows.start_of(
@@ -338,6 +339,7 @@
             self._handle_subscribe(sender, payload)
         elif isinstance(payload, m.SearcherRows):
             self._other_rows.merge(self._now, payload.rows)
+            self._own_rows.contradict(payload.rows)
             taken = self._departures.note_received(self._now, sender, payload)
             self._out.append(Send(sender, taken))
         elif isinstance(payload, m.SlowReport):
--- a/greengagemoor/feed/messages.py
+++ b/greengagemoor/feed/messages.py
@@ -16,9 +16,9 @@
 class SearcherState(enum.Enum):
     """State of a searcher.
 
-    A control instance infers ``LOST`` from missing announcements; the searcher
-    itself reports the others. ``GONE`` is also set if another searcher
-    announces itself at the same address.
+    A control instance infers ``LOST`` from missing announcements, or from those
+    of another searcher at the same address; the searcher itself reports the
+    others.
     """
 
     READY = "ready"
