--- a/greengagemoor/aio/background.py
+++ b/greengagemoor/aio/background.py
@@ -33,7 +33,7 @@
     asyncio.get_running_loop().set_exception_handler(_handle_context)
 
 
-def spawn(name: str, coro: Coroutine[Any, Any, None]) -> asyncio.Task:
+def spawn(name: str, coro: Coroutine[Any, Any, Any]) -> asyncio.Task:
     """Starts a task; an exception that ends it is logged when that happens."""
     task = asyncio.get_running_loop().create_task(coro, name=name)
     _running.add(task)
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -103,13 +103,13 @@
             pages = operator_pages.make_pages(
                 self._metrics,
                 self._hub,
+                self._recovery.storage,
                 self._ticker.put,
                 self._operators,
                 orders,
             )
-            self._servers.append(
-                HttpServer(cfg.metrics_address, pages, Limits())
-            )
+            server = HttpServer(cfg.metrics_address, pages, Limits())
+            self._servers.append(server)
 
     async def start(self) -> None:
         """Starts the listeners and the recovery of the durable state."""
--- a/greengagemoor/serving/durable_state.py
+++ b/greengagemoor/serving/durable_state.py
@@ -42,7 +42,7 @@
 ENTRIES = "entries.bin"
 SUSPECTS = "suspects.bin"
 FOUNDERS = "FOUNDERS.json"
-_Kept = TypeVar("_Kept", SearcherRows, KnownPeers, SuspectRows)
+Kept = TypeVar("Kept", SearcherRows, KnownPeers, SuspectRows)
 
 
 @values.frozen
@@ -188,7 +188,7 @@
         if self._writer is not None:
             self._writer.write(operation)
 
-    async def store(self, name: str, content: _Kept) -> bool:
+    async def store(self, name: str, content: Kept) -> bool:
         """Replaces a file that is read after a restart; logs a failure.
 
         Returns:
@@ -224,7 +224,7 @@
         stored = self._read_stored(SUSPECTS, SuspectRows)
         return stored.rows if stored is not None else ()
 
-    def _read_stored(self, name: str, cls: type[_Kept]) -> _Kept | None:
+    def _read_stored(self, name: str, cls: type[Kept]) -> Kept | None:
         path = self._path / name
         try:
             return codec.decode(path.read_bytes(), cls)
--- a/greengagemoor/serving/hub_storage.py
+++ b/greengagemoor/serving/hub_storage.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable
 
     from greengagemoor.feed.hub import FeedHub
-    from greengagemoor.serving.durable_state import DurableState
+    from greengagemoor.serving.durable_state import DurableState, Kept
 
 STORE_INTERVAL_S = 1.0
 """Seconds between checks for changes. A file is written only after a change: a
@@ -50,6 +50,7 @@
         self._stored: dict[str, int] = {}
         """Versions of the stored contents, by file name."""
         self._departures_due = asyncio.Event()
+        self._suspects_lock = asyncio.Lock()
 
     def restore(self, now: float) -> None:
         """Restores the hub from the state stored before the restart."""
@@ -100,20 +101,31 @@
 
     async def _store_changes(self) -> None:
         """Stores what has changed; keeps for later what could not be stored."""
+        await self.store_suspects()
         hub = self._hub
         for name, version, content in (
-            (
-                SUSPECTS,
-                hub.suspects.table.changes,
-                hub.suspects.rows_to_store,
-            ),
             (OWN_ROWS, hub.number, hub.rows_to_store),
             (OTHER_ROWS, hub.peer_rows_version, hub.peer_rows_to_store),
             (ENTRIES, hub.recent_entry_count, self._entry_count),
         ):
-            is_changed = version != self._stored.get(name, 0)
-            if is_changed and await self._durable.store(name, content()):
-                self._stored[name] = version
+            await self._store_if_changed(name, version, content)
+
+    async def store_suspects(self) -> bool:
+        """Stores the suspect requests; returns whether the disk holds them."""
+        suspects = self._hub.suspects
+        async with self._suspects_lock:
+            return await self._store_if_changed(
+                SUSPECTS, suspects.table.changes, suspects.rows_to_store
+            )
+
+    async def _store_if_changed(
+        self, name: str, version: int, content: Callable[[], Kept]
+    ) -> bool:
+        if version != self._stored.get(name, 0):
+            if not await self._durable.store(name, content()):
+                return False
+            self._stored[name] = version
+        return True
 
     def _entry_count(self) -> KnownPeers:
         return KnownPeers((), self._hub.recent_entry_count)
--- a/greengagemoor/serving/operator_pages.py
+++ b/greengagemoor/serving/operator_pages.py
@@ -12,6 +12,7 @@
 
     from greengagemoor.aio.requests import Handler
     from greengagemoor.feed.hub import FeedHub
+    from greengagemoor.serving.hub_storage import HubStorage
     from greengagemoor.serving.operators import OperatorCalls
     from greengagemoor.serving.pending_orders import PendingOrders
 
@@ -19,6 +20,7 @@
 def make_pages(
     metrics: Handler,
     hub: FeedHub,
+    storage: HubStorage,
     put: Callable[[object], None],
     operators: OperatorCalls,
     orders: PendingOrders,
@@ -28,9 +30,12 @@
     Args:
         metrics: answers all other paths.
         hub: holds the suspect requests.
+        storage: stores them.
         put: receives the messages for the next tick.
         operators: submits calls to the control group.
         orders: carries out orders while their callers wait.
     """
-    page = QuarantinePage(metrics, hub.suspects.table, put, orders)
+    page = QuarantinePage(
+        metrics, hub.suspects.table, put, orders, storage.store_suspects
+    )
     return EvacuationPage(page, operators)
--- a/greengagemoor/serving/quarantine.py
+++ b/greengagemoor/serving/quarantine.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import TYPE_CHECKING, Any
 
+from greengagemoor.aio import background
 from greengagemoor.feed.messages import ClearSuspect
 from greengagemoor.feed.suspects import Standing, standing_of
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from greengagemoor.aio.requests import Handler, HttpRequest
     from greengagemoor.feed.messages import SearcherKey, Suspect
@@ -17,6 +19,8 @@
     from greengagemoor.serving.pending_orders import PendingOrders
 
 QUARANTINE_PATH = "/quarantine"
+STORE_TIMEOUT_S = 0.9
+"""Seconds after which a caller is told that its order is not stored yet."""
 MAX_ROWS = 1000
 """Rows in one answer, some 300 KB."""
 JSON_TYPE = ((b"Content-Type", b"application/json"),)
@@ -35,6 +39,7 @@
         table: SuspectTable,
         put: Callable[[object], None],
         orders: PendingOrders,
+        store: Callable[[], Coroutine[Any, Any, bool]],
     ):
         """Puts the page in front of the metrics.
 
@@ -43,11 +48,13 @@
             table: suspect requests, as this control instance has them.
             put: receives ``ClearSuspect``.
             orders: clears requests while their callers wait.
+            store: stores the suspect requests; returns whether that succeeded.
         """
         self._metrics = metrics
         self._table = table
         self._put = put
         self._orders = orders
+        self._store = store
 
     def handle_request(self, req: HttpRequest) -> None:
         """Answers a call."""
@@ -80,10 +87,20 @@
 
         def clear() -> None:
             self._put(ClearSuspect(fingerprint))
-            _reply(req, 200, {"cleared": fingerprint.hex()})
+            # Its first step follows the tick that handles the message.
+            background.spawn("clear", self._confirm(req, fingerprint))
 
         self._orders.add(req, clear)
 
+    async def _confirm(self, req: HttpRequest, fingerprint: bytes) -> None:
+        """Answers once the disk holds the cleared request."""
+        storing = background.spawn("store", self._store())
+        done, _ = await asyncio.wait({storing}, timeout=STORE_TIMEOUT_S)
+        if done and storing.exception() is None and storing.result():
+            _reply(req, 200, {"cleared": fingerprint.hex()})
+        else:
+            _reply(req, 503, {"error": "not stored yet; clear it again"})
+
 
 def _row_to_json(row: Suspect) -> dict[str, Any]:
     return {
--- a/tests/test_serving/test_departures.py
+++ b/tests/test_serving/test_acknowledged.py
@@ -1,4 +1,4 @@
-"""An acknowledged leave, over a kill of the control instance."""
+"""What a control instance has acknowledged, over its kill."""
 
 from __future__ import annotations
 
@@ -13,13 +13,18 @@
 from greengagemoor.feed.messages import (
     LinkUp,
     RowsTaken,
+    SearcherKey,
     SearcherRows,
     SearcherState,
     Subscribe,
+    Suspect,
+    SuspectRows,
 )
+from greengagemoor.feed.suspects import Standing
 from greengagemoor.platform.dialect import PlatformDialect
 from greengagemoor.serving import hub_storage
 from greengagemoor.serving.control import ControlApp
+from greengagemoor.serving.operators import EvacuationPage
 from greengagemoor.serving.settings import ServingSettings
 from greengagemoor.storage.folder import DataFolder
 from tests.test_aio.helpers import run
@@ -55,6 +60,7 @@
             PEER_ADDRESS,
             (PEER_ADDRESS,),
             new_group=True,
+            metrics_address="127.0.0.2:9464",
             data_folder=str(path),
         )
         self.app = ControlApp(cfg, PlatformDialect())
@@ -88,6 +94,14 @@
         )
         return await caller.status
 
+    def pages(self):
+        """Returns the pages at the metrics address."""
+        return next(
+            server._handler
+            for server in self.app._servers
+            if isinstance(server._handler, EvacuationPage)
+        )
+
     async def kill(self):
         """Ends it; what it has not stored by now is lost."""
         self.task.cancel()
@@ -160,3 +174,30 @@
         result = run(leave_and_restart(tmp_path / "d"))
         assert result == (200, SearcherState.GONE)
         assert not errors
+
+
+class TestClearedRequest:
+    """The process is killed as soon as it has cleared a request."""
+
+    def test_stays_cleared(self, tmp_path):
+        """Guards against a cleared request that is quarantined again."""
+        keys = tuple(SearcherKey(name, 7) for name in "abc")
+        suspect = Suspect(b"q" * 16, ended=keys, failed=keys[:1], sure=True)
+        body = json.dumps({"digest": suspect.fingerprint.hex()}).encode()
+
+        async def play():
+            async with running(tmp_path / "d") as instance:
+                rows = Received("e1", SuspectRows((suspect,)))
+                instance.app._ticker.put(rows)
+                await asyncio.sleep(0)
+                await instance.app._recovery.storage._store_changes()
+                caller = Caller()
+                instance.pages().handle_request(
+                    HttpRequest("POST", "/quarantine", [], body, 0.0, caller)
+                )
+                assert await caller.status == 200
+            async with running(tmp_path / "d") as instance:
+                return instance.app._hub.suspects.table.rows(*Standing)
+
+        (row,) = run(play())
+        assert row.epoch == 1
--- a/tests/test_serving/test_quarantine.py
+++ b/tests/test_serving/test_quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
@@ -9,8 +10,10 @@
 from greengagemoor.aio.requests import HttpRequest
 from greengagemoor.feed.messages import ClearSuspect, SearcherKey, Suspect
 from greengagemoor.feed.suspects import SuspectTable
+from greengagemoor.serving import quarantine
 from greengagemoor.serving.pending_orders import PendingOrders
 from greengagemoor.serving.quarantine import QUARANTINE_PATH, QuarantinePage
+from tests.test_aio.helpers import run
 from tests.test_serving.helpers import Caller, Metrics, Timers
 
 KEYS = tuple(SearcherKey(name, 7) for name in "abc")
@@ -25,15 +28,46 @@
     """Calls to ``/quarantine``, which is served beside the metrics."""
 
     def call(
-        self, method, path=QUARANTINE_PATH, body=b"", *, disconnects=False
+        self,
+        method,
+        path=QUARANTINE_PATH,
+        body=b"",
+        *,
+        disconnects=False,
+        stored=True,
     ):
+        """Returns the answer to a call.
+
+        Args:
+            method: method of the call.
+            path: its path.
+            body: its body.
+            disconnects: whether the caller disconnects at once.
+            stored: whether the disk takes the suspects; None if it stalls.
+        """
+
+        async def store():
+            if stored is None:
+                await asyncio.sleep(3600)
+            return stored
+
+        async def play():
+            caller = self.handle(method, path, body, disconnects, store)
+            await asyncio.sleep(0.05)
+            return caller
+
+        return run(play())
+
+    def handle(self, method, path, body, disconnects, store):
         table = SuspectTable()
         for row in (SUSPECT, QUARANTINED, WATCHED):
             table.join(row)
         self.messages = []
         timers = Timers()
         orders = PendingOrders(timers.call_later)
-        page = QuarantinePage(Metrics(), table, self.messages.append, orders)
+        page = QuarantinePage(
+            Metrics(), table, self.messages.append, orders, store
+        )
         caller = Caller()
         req = HttpRequest(method, path, [], body, 0.0, caller)
         page.handle_request(req)
@@ -61,6 +95,13 @@
         assert self.call("POST", body=body, disconnects=True).status == 0
         assert self.messages == []
 
+    @pytest.mark.parametrize("stored", [False, None])
+    def test_clear_that_is_not_stored(self, monkeypatch, stored):
+        """Guards against acknowledging what the next start does not know."""
+        monkeypatch.setattr(quarantine, "STORE_TIMEOUT_S", 0.01)
+        body = json.dumps({"digest": QUARANTINED.fingerprint.hex()}).encode()
+        assert self.call("POST", body=body, stored=stored).status == 503
+
     @pytest.mark.parametrize(
         ("body", "status"),
         [
