Late replies to rows of an earlier process confirm none of its successor

A control instance counts its rows from 0 after each start. After a loss of power, another instance may still hold the old link and confirm rows of the former process once its disk has written them. The new process would have counted that as a copy of a leave that nobody has.

Numbers now begin with the time of the start in milliseconds, so those of an earlier process are lower. test_late_reply_to_an_earlier_process covers it.

--- a/greengagemoor/feed/hub.py
+++ b/greengagemoor/feed/hub.py
@@ -47,12 +47,15 @@
     go to entries that subscribe later.
     """
 
-    def __init__(self, timing: Timing, name: str = ""):
+    def __init__(self, timing: Timing, name: str = "", first_number: int = 0):
         """Creates a hub without searchers and subscribers.
 
         Args:
             timing: intervals.
             name: name of this control instance.
+            first_number: number of its rows before the first change; above
+                those of earlier processes, so that a late reply to one of them
+                does not confirm rows of this one.
         """
         self._timing = timing
         self._name = name
@@ -65,7 +68,7 @@
         )
         self._directory = EntryDirectory(name)
         self._places = PlaceDistributor(self._subscribers)
-        self._number = 0
+        self._number = first_number
         self._documents = DocumentHistory()
         self._peers: tuple[str, ...] = ()
         self._peers_changed = False
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -59,7 +59,9 @@
         self._dialect = dialect
         self._ticker = Ticker(self.clock, self._tick)
         self._links = Links(cfg.instance, cfg.peer_address, self._ticker.put)
-        self._hub = FeedHub(HubTiming(announce=cfg.announce_s), cfg.instance)
+        first_number = int(1000 * self.clock.now())
+        timing = HubTiming(announce=cfg.announce_s)
+        self._hub = FeedHub(timing, cfg.instance, first_number)
         self._quotas = QuotaDealing(cfg)
         self._client = ControlClient([cfg.instance], self._rng)
         self._durable = DurableState(
@@ -174,9 +176,8 @@
             self._restart_member()
         out += self._hub.step(now, filter(message_dispatch.is_for_hub, batch))
         self._recovery.storage.store_departures()
-        out += self._client.step(
-            now, filter(message_dispatch.is_for_client, batch)
-        )
+        for_client = filter(message_dispatch.is_for_client, batch)
+        out += self._client.step(now, for_client)
         out += self._quotas.step(now, batch)
         for msg in out:
             self._handle(msg, inbox)
@@ -221,9 +222,8 @@
             )
             self._calls.answer(msg.token, reply)
         elif isinstance(msg, feed.AnnouncementRejected):
-            self._calls.answer(
-                msg.token, self._dialect.write_announcement_rejected()
-            )
+            reply = self._dialect.write_announcement_rejected()
+            self._calls.answer(msg.token, reply)
         elif isinstance(msg, feed.StandingChanged):
             self._standing_log.note(self.clock.now(), msg.row)
         elif isinstance(msg, Done):
--- a/tests/test_feed/test_departures.py
+++ b/tests/test_feed/test_departures.py
@@ -209,6 +209,17 @@
         out = bench.step(Received("c3", m.RowsTaken(3)))
         assert acknowledged(out) == [3]
 
+    def test_late_reply_to_an_earlier_process(self):
+        """Guards against counting copies of rows that nobody has."""
+        bench = HubBench("c1", first_number=1_000)
+        bench.hub.set_peers((), frozenset({"c1", "c2", "c3"}))
+        peer = m.Subscribe("c2", "", "", ready=False)
+        bench.step(Received("c2", peer))
+        bench.step(m.SearcherLeaving(2, "i1", 0))
+        assert self.take(bench, "c2", stored=True) == []
+        taken = m.RowsTaken(1_001, 1_001)
+        assert acknowledged(bench.step(Received("c2", taken))) == [2]
+
     def test_outside_a_group(self):
         """No majority is known, so another instance has to store it."""
         bench = HubBench("c1")
