--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -15,6 +15,7 @@
 
 from bench import (
     mutant_list,
+    mutants_of_announcements,
     mutants_of_connections,
     mutants_of_places,
     mutants_of_recovery,
@@ -26,6 +27,7 @@
     *mutants_of_places.MUTANTS,
     *mutants_of_connections.MUTANTS,
     *mutants_of_recovery.MUTANTS,
+    *mutants_of_announcements.MUTANTS,
 )
 ROOT = Path(__file__).parent.parent
 WORKERS = 3
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 
 from soak.cluster import DATA_CENTRES
 from soak.full_disks import fill_all_disks, fill_disk, fill_disks_in_turn
+from soak.searchers import DEPARTURE_S
 from soak.tolerance import tolerates_disk_loss
 
 if TYPE_CHECKING:
@@ -98,6 +99,19 @@
     await searcher.drain()
 
 
+async def leave_searcher(run: Run) -> None:
+    """Lets a searcher leave and serve on; half the time all is killed then."""
+    searcher = run.rng.choice(run.searchers)
+    kills = run.rng.random() < 0.5
+    run.searchers.remove(searcher)
+    await run.add_searcher(searcher.service, data_centre=searcher.data_centre)
+    if await searcher.leave() and kills:
+        for machine in run.cluster.machines:
+            run.cluster.kill(machine)
+    await asyncio.sleep(2 * DEPARTURE_S)
+    searcher.stop()
+
+
 async def evacuate(run: Run) -> None:
     """Evacuates a data centre for 1 to 8 s."""
     data_centre = run.rng.choice(DATA_CENTRES)
@@ -130,5 +144,6 @@
     slow_searcher,
     crash_searcher,
     drain_searcher,
+    leave_searcher,
     evacuate,
 )
--- a/soak/searchers.py
+++ b/soak/searchers.py
@@ -19,6 +19,8 @@
     import random
 
 HEARTBEAT_INTERVAL_S = 0.4
+DEPARTURE_S = 4.0
+"""How long a searcher serves after it has reported that it drains or leaves."""
 RECORDS_PER_ANSWER = 4
 
 
@@ -123,7 +125,10 @@
             "cold-left-ms": 0,
             "seq-no": self._sequence,
         }
-        path = f"/v1/instances/{self.searcher_id}/heartbeat"
+        return await self._report("heartbeat", body)
+
+    async def _report(self, verb: str, body: dict) -> bool:
+        path = f"/v1/instances/{self.searcher_id}/{verb}"
         data = json.dumps(body).encode()
         for address in self.cluster.control_addresses(self.rng):
             outcome = await call(self._pool, address, "POST", path, data)
@@ -163,13 +168,26 @@
         )
 
     async def drain(self) -> None:
-        """Reports that it drains, serves for 4 s more and stops."""
+        """Reports that it drains, serves a little longer and stops."""
         self.draining_since = float("inf")
         if await self.send_heartbeat():
             self.draining_since = asyncio.get_running_loop().time()
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(DEPARTURE_S)
         self.stop()
 
+    async def leave(self) -> bool:
+        """Reports that it leaves, without a drain before; serves on.
+
+        Returns:
+            Whether that was acknowledged.
+        """
+        self.draining_since = float("inf")
+        self._task.cancel()
+        if not await self._report("leave", {"born": self.started_at_ms}):
+            return False
+        self.draining_since = asyncio.get_running_loop().time()
+        return True
+
     def stop(self) -> None:
         """Stops without a drain."""
         self.ended = True
--- a/tests/test_serving/test_durable_state.py
+++ b/tests/test_serving/test_durable_state.py
@@ -11,14 +11,17 @@
 from greengagemoor.control.messages import Received
 from greengagemoor.feed.hub import FeedHub
 from greengagemoor.feed.messages import (
+    DeparturesStored,
     KnownPeers,
     SearcherKey,
+    SearcherLeaving,
     Suspect,
     SuspectRows,
 )
 from greengagemoor.feed.timing import Timing
 from greengagemoor.serving import durable_state, hub_storage
 from greengagemoor.serving.durable_state import (
+    DEPARTURES,
     ENTRIES,
     SUSPECTS,
     DurableState,
@@ -258,3 +261,44 @@
         self.restart(tmp_path / "d", SUSPECT)
         assert not errors
         assert self.restart(tmp_path / "d") == (SUSPECT,)
+
+
+class TestDepartures:
+    """Searchers that drain or have left are stored as soon as they say so."""
+
+    def test_write_that_failed_is_repeated(self, tmp_path, monkeypatch):
+        """Guards against an acknowledgement that waits for the next change."""
+        monkeypatch.setattr(hub_storage, "RETRY_S", 0.001)
+        errors = [OSError(28, "No space left on device"), ValueError("once")]
+        write = DataFolder.write_atomically
+
+        def fail_twice(folder, name, data):
+            if name == DEPARTURES and errors:
+                raise errors.pop()
+            write(folder, name, data)
+
+        monkeypatch.setattr(DataFolder, "write_atomically", fail_twice)
+
+        async def run():
+            durable = DurableState(
+                str(tmp_path / "d"), "127.0.0.1", lambda _: None
+            )
+            await durable.open()
+            hub = FeedHub(Timing(1.0), "c1")
+            stored = asyncio.get_running_loop().create_future()
+            storage = HubStorage(hub, durable, stored.set_result)
+            task = asyncio.create_task(storage.run())
+            hub.step(1.0, [SearcherLeaving(1, "i1", 7)])
+            storage.store_departures()
+            try:
+                message = await asyncio.wait_for(stored, 2.0)
+            finally:
+                task.cancel()
+                await durable.close()
+            rows = durable.load_searchers(DEPARTURES)
+            return message, [row.key for row in rows]
+
+        message, keys = asyncio.run(run())
+        assert message == DeparturesStored(1)
+        assert keys == [SearcherKey("i1", 7)]
+        assert not errors
