A departure of a later start is stored, too, before it is confirmed

Found by reading the diff. A control instance whose table held the leave of an earlier start of a searcher, and never saw the later one ready, took the leave of the later start for stored. The test failed before for another start; a leave after a drain was stored as it should be.

--- a/greengagemoor/feed/acknowledgements.py
+++ b/greengagemoor/feed/acknowledgements.py
@@ -71,7 +71,7 @@
             now: seconds.
             number: number of the latest rows sent.
             name: this control instance.
-            group: the members of the control group, () if not known.
+            group: the members of the control group; empty if not known.
         """
         taken = self._subscribers.taken_by_all(number)
         out: list[AnnouncementAccepted | AnnouncementRejected] = []
--- a/greengagemoor/feed/departures.py
+++ b/greengagemoor/feed/departures.py
@@ -78,8 +78,10 @@
         merged = row if known is None else newer(known.row, row)
         if known is not None and merged == known.row:
             return
-        # Announcements of a draining searcher differ in their sequence only.
-        if known is None or merged.state is not known.row.state:
+        # A draining searcher repeats that with another sequence, which need
+        # not be stored.
+        before = None if known is None else (known.row.start, known.row.state)
+        if before != (merged.start, merged.state):
             self.version += 1
         self._departures[row.searcher_id] = _Departure(
             merged, now + self._retention_s
--- a/tests/test_feed/test_departures.py
+++ b/tests/test_feed/test_departures.py
@@ -4,6 +4,7 @@
 
 from itertools import combinations, permutations
 
+import attrs
 import pytest
 
 from greengagemoor.control.messages import Received, Send
@@ -24,6 +25,7 @@
 
 GROUP = ("c1", "c2", "c3", "c4", "c5")
 LOST_DISKS = 2
+GONE = SearcherState.GONE
 DRAIN = row(sequence=2, state=SearcherState.DRAINING)
 
 
@@ -263,6 +265,16 @@
         bench.step(Received("c1", again))
         assert bench.hub.departures_to_store().rows == ()
 
+    @pytest.mark.parametrize("changes", [{"start": 6}, {"state": GONE}])
+    def test_later_departure_of_a_searcher_is_stored_as_well(self, changes):
+        """Guards against confirming a departure by that of an earlier start."""
+        bench = HubBench("c2")
+        bench.step(Received("c1", m.SearcherRows(1, False, (DRAIN,))))
+        bench.has_disk = False
+        later = attrs.evolve(DRAIN, **changes)
+        out = bench.step(Received("c1", m.SearcherRows(2, False, (later,))))
+        assert out == [Send("c1", m.RowsTaken(2, 0))]
+
     def test_departures_expire(self):
         bench = HubBench("c2")
         bench.step(Received("c1", m.SearcherRows(1, False, (DRAIN,))))
