Log the age of operators' orders, and evacuations at control instances

An order that was read late could not be told from one that the network delayed, nor from lost state: 'operation' names neither the data centre nor the order's age, and control instances logged no change of an evacuation.

- order: data centre, the number that the order is based on, and age_s, an upper bound on the seconds since it was sent.
An order can't be older than its connection.
The kernel completes handshakes for a suspended process, so LoopWatch notes when the loop last had nothing left to accept, by a clock that counts suspensions; the handshake's duration comes from TCP_INFO.
- evacuation: at each control instance, as its state changes.

Nothing decides by them yet.

The head of a response moves to its own module, and the servers of a control instance to another, to make room.

--- a/greengagemoor/aio/connection.py
+++ b/greengagemoor/aio/connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import deque
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import httptools
@@ -12,6 +11,7 @@
 from greengagemoor.aio import background, sockets
 from greengagemoor.aio.head_size import HeadSize, RequestTooLargeError
 from greengagemoor.aio.requests import Handler, HttpRequest, Limits
+from greengagemoor.aio.response_head import format_head
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,7 +26,6 @@
 TIMEOUT_CHECK_S = 0.5
 """Interval at which a connection checks its timeouts."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
 
 class HttpConnection(asyncio.Protocol):
@@ -34,8 +33,14 @@
 
     Pipelined requests are queued. Reading pauses when the queue is full, which
     bounds the memory that one caller can use.
+
+    Attributes:
+        established_after: a time before which this connection did not exist,
+            by the clock of the server's ``LoopWatch``; 0 without one.
     """
 
+    established_after = 0.0
+
     def __init__(self, handler: Handler, limits: Limits, open_conns: set):
         self._handler = handler
         self._limits = limits
@@ -233,19 +238,8 @@
         keep: bool,
         head: bool = False,
     ) -> None:
-        phrase = REASON_PHRASES.get(status, "Status")
-        lines = [f"HTTP/1.1 {status} {phrase}\r\n".encode()]
-        lines += [b"%s: %s\r\n" % pair for pair in headers]
-        if status >= 200 and status != 204:
-            lines.append(b"Content-Length: %d\r\n" % len(body))
-        lines.append(b"Connection: %s\r\n" % self._connection_option(keep))
-        lines.append(b"\r\n")
-        if not head:
-            lines.append(body)
-        self._transport.write(b"".join(lines))
-
-    def _connection_option(self, keep: bool) -> bytes:
-        return b"keep-alive" if keep else b"close"
+        content = format_head(status, headers, len(body), keep=keep)
+        self._transport.write(content if head else content + body)
 
     def _reject(self, status: int) -> None:
         """Ignores further input; sends an error unless a request is running."""
@@ -267,6 +261,13 @@
             return None
         return sockets.round_trip_s(self._transport)
 
+    @property
+    def handshake_s(self) -> float:
+        """Duration of the TCP handshake at most; 0 if not known."""
+        if self._transport is None:
+            return 0.0
+        return sockets.handshake_s(self._transport)
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is in progress or partly received."""
--- a/greengagemoor/aio/server.py
+++ b/greengagemoor/aio/server.py
@@ -13,6 +13,7 @@
     import socket
     from collections.abc import Callable, Iterable
 
+    from greengagemoor.aio.loop_watch import LoopWatch
     from greengagemoor.aio.requests import Handler, Limits
 
 IDLE_CHECK_INTERVAL_S = 0.02
@@ -21,18 +22,26 @@
 class HttpServer:
     """Listens on one address; makes an object per connection."""
 
-    def __init__(self, address: str, handler: Handler, limits: Limits):
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        limits: Limits,
+        loop_watch: LoopWatch | None = None,
+    ):
         """Prepares the server; ``start`` listens.
 
         Args:
             address: ip:port.
             handler: receives the requests.
             limits: shared by all connections; may change at run time.
+            loop_watch: tells how old a connection may be.
         """
         self.limits = limits
         self.conns: set[HttpConnection] = set()
         self._address = address
         self._handler = handler
+        self._loop_watch = loop_watch
         self._server: asyncio.Server | None = None
 
     async def start(self, sock: socket.socket | None = None) -> None:
@@ -46,12 +55,18 @@
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: HttpConnection(self._handler, self.limits, self.conns),
+            self._make_connection,
             sock=sock or sockets.listen(self._address),
             backlog=sockets.BACKLOG,
         )
         log.event("listening", address=self._address)
 
+    def _make_connection(self) -> HttpConnection:
+        conn = HttpConnection(self._handler, self.limits, self.conns)
+        if self._loop_watch is not None:
+            conn.established_after = self._loop_watch.polled_at
+        return conn
+
     def stop_accepting(self) -> None:
         """Stops accepting connections; open ones stay."""
         if self._server is not None:
--- a/greengagemoor/aio/sockets.py
+++ b/greengagemoor/aio/sockets.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import struct
+from math import inf
 
 USER_TIMEOUT_MS = 3000
 """TCP closes a connection whose data stays unacknowledged for this long.
@@ -12,8 +13,9 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
-TCP_INFO_RTT = struct.Struct("68xI")
-"""Position of ``tcpi_rtt``, in microseconds, in Linux's ``tcp_info``."""
+TCP_INFO = struct.Struct("68xI28xI")
+"""Positions of ``tcpi_rtt``, in microseconds, and ``tcpi_total_retrans`` in
+Linux's ``tcp_info``."""
 BACKLOG = 1024
 """Connections waiting to be accepted: ten seconds at 100 requests a second, if
 only one entry runs."""
@@ -68,15 +70,31 @@
 
     None if the platform does not report it.
     """
+    rtt_us, _ = _tcp_info(transport)
+    return rtt_us / 1e6 if rtt_us else None
+
+
+def handshake_s(transport) -> float:
+    """Returns how long the handshake of an accepted connection took at most.
+
+    Valid until this side has sent data. Infinite if a packet was sent again:
+    the round-trip time is then that of the last copy, and the other side may
+    have received an earlier one. 0 if the platform does not report it.
+    """
+    rtt_us, retransmissions = _tcp_info(transport)
+    return inf if retransmissions else rtt_us / 1e6
+
+
+def _tcp_info(transport) -> tuple[int, int]:
+    """Returns the round-trip time in microseconds, and retransmissions."""
     sock = transport.get_extra_info("socket")
     if sock is None:
-        return None
+        return 0, 0
     try:
         info = sock.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_RTT.size
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size
         )
-        (rtt_us,) = TCP_INFO_RTT.unpack(info)
+        return TCP_INFO.unpack(info)
     except (AttributeError, OSError, struct.error):
         # Not Linux; the network time to the caller is estimated then.
-        return None
-    return rtt_us / 1e6 if rtt_us else None
+        return 0, 0
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -11,8 +11,8 @@
 from greengagemoor import log
 from greengagemoor.aio import background
 from greengagemoor.aio.links import Links
-from greengagemoor.aio.requests import Limits
-from greengagemoor.aio.server import HttpServer, drain
+from greengagemoor.aio.loop_watch import LoopWatch
+from greengagemoor.aio.server import drain
 from greengagemoor.control import messages as control
 from greengagemoor.control.client import ControlClient, Done
 from greengagemoor.control.join_messages import SeedsChanged
@@ -22,6 +22,7 @@
 from greengagemoor.feed.timing import Timing as HubTiming
 from greengagemoor.serving import message_dispatch, operator_pages
 from greengagemoor.serving.control_calls import ControlCalls
+from greengagemoor.serving.control_servers import make_servers
 from greengagemoor.serving.durable_state import DurableState
 from greengagemoor.serving.event_log import (
     ControlStateLog,
@@ -36,7 +37,7 @@
 from greengagemoor.serving.recovery import MemberRecovery, make_member
 from greengagemoor.serving.ticker import Ticker
 from greengagemoor.shell import group_log
-from greengagemoor.shell.clock import Clock
+from greengagemoor.shell.clock import BootClock, Clock
 
 if TYPE_CHECKING:
     from greengagemoor.control.decider import ControlDecider
@@ -84,7 +85,10 @@
         self._linked_members: dict | None = None
         self._contacts: dict[str, str] = {}
         self._calls = OpenCalls()
-        orders = PendingOrders(asyncio.get_running_loop().call_later)
+        self._loop_watch = LoopWatch(BootClock().now)
+        orders = PendingOrders(
+            asyncio.get_running_loop().call_later, self._loop_watch.now
+        )
         self._operators = OperatorCalls(
             cfg, dialect, self._calls, self._ticker.put, self.clock.now, orders
         )
@@ -97,24 +101,19 @@
             self._operators,
         )
         self._metrics = ServingMetrics(self._gauges)
-        addresses = {cfg.control_address, cfg.directory_address} - {""}
-        self._servers = [
-            HttpServer(at, self.calls, Limits()) for at in sorted(addresses)
-        ]
-        if cfg.metrics_address:
-            pages = operator_pages.make_pages(
-                self._metrics,
-                self._hub,
-                self._recovery.storage,
-                self._ticker.put,
-                self._operators,
-                orders,
-            )
-            server = HttpServer(cfg.metrics_address, pages, Limits())
-            self._servers.append(server)
+        pages = operator_pages.make_pages(
+            self._metrics,
+            self._hub,
+            self._recovery.storage,
+            self._ticker.put,
+            self._operators,
+            orders,
+        )
+        self._servers = make_servers(cfg, self.calls, pages, self._loop_watch)
 
     async def start(self) -> None:
         """Starts the listeners and the recovery of the durable state."""
+        background.spawn("watch_loop", self._loop_watch.run())
         await self._links.start()
         self._links.set_addresses(set(self.cfg.seeds))
         for server in self._servers:
@@ -215,6 +214,7 @@
             self._update_services(msg)
             inbox.append(msg)
         elif isinstance(msg, control.EvacuationsAccepted):
+            self._state_log.note_evacuations(msg.rows)
             inbox.append(msg)
         elif isinstance(msg, feed.AnnouncementAccepted):
             reply = self._dialect.write_announcement_accepted(
--- a/greengagemoor/serving/event_log.py
+++ b/greengagemoor/serving/event_log.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from greengagemoor import log
+from greengagemoor.control.evacuations import EvacuationView
 from greengagemoor.control.join_messages import JoinRequest
 from greengagemoor.control.joining import FIRST_NOTICE_S, MAX_NOTICE_INTERVAL_S
 from greengagemoor.feed import messages as feed
@@ -23,9 +24,10 @@
 
 
 class ControlStateLog:
-    """Logs changes of a control instance's role and document."""
+    """Logs changes of a control instance's role, document and evacuations."""
 
     def __init__(self):
+        self._evacuations = EvacuationView()
         self._decider: ControlDecider | None = None
         self._role: tuple[str, int, str] = ("", 0, "")
         self._document_number = 0
@@ -43,6 +45,10 @@
             self._document_number = number
             log.event("document", version=number)
 
+    def note_evacuations(self, rows: Iterable[Evacuation]) -> None:
+        """Logs the rows that are newer than those logged before."""
+        log_evacuations(self._evacuations.merge(rows))
+
     def gauges(self) -> dict[str, float]:
         """Returns the current gauges, by name."""
         group = self._decider.status().gauges() if self._decider else {}
--- a/greengagemoor/serving/operators.py
+++ b/greengagemoor/serving/operators.py
@@ -123,11 +123,14 @@
         deadline = self._now() + OPERATION_TIMEOUT_S
 
         def submit() -> None:
-            command = SetEvacuation(
-                call.data_centre,
-                call.active,
-                self._latest_number(call.data_centre),
-                0.0,
+            number = self._latest_number(call.data_centre)
+            command = SetEvacuation(call.data_centre, call.active, number, 0.0)
+            log.event(
+                "order",
+                data_centre=call.data_centre,
+                active=call.active,
+                number=number,
+                age_s=round(self._orders.age_s(req), 3),
             )
             self._put(
                 OperationRequest(token, OpKind.EVACUATE, deadline, command)
--- a/greengagemoor/serving/pending_orders.py
+++ b/greengagemoor/serving/pending_orders.py
@@ -27,15 +27,20 @@
     """
 
     def __init__(
-        self, call_later: Callable[[float, Callable[[], None]], TimerHandle]
+        self,
+        call_later: Callable[[float, Callable[[], None]], TimerHandle],
+        now: Callable[[], float],
     ):
         """Starts without orders.
 
         Args:
             call_later: calls a function after a number of seconds, and not
                 before the event loop has read from all connections.
+            now: returns the time in seconds, by the clock of the connections'
+                ``established_after``.
         """
         self._call_later = call_later
+        self._now = now
         self._timers: dict[HttpRequest, TimerHandle] = {}
 
     def add(self, req: HttpRequest, carry_out: Callable[[], None]) -> None:
@@ -47,6 +52,15 @@
 
         self._timers[req] = self._call_later(CLOSE_DETECTION_S, run)
 
+    def age_s(self, req: HttpRequest) -> float:
+        """Returns how many seconds ago an order was sent, at most.
+
+        It was sent after its caller received the second packet of the
+        handshake, which this side sent.
+        """
+        conn = req.conn
+        return self._now() - conn.established_after + conn.handshake_s
+
     def discard(self, req: HttpRequest) -> None:
         """Discards the order of a caller that disconnected, if there is one."""
         timer = self._timers.pop(req, None)
--- a/greengagemoor/shell/clock.py
+++ b/greengagemoor/shell/clock.py
@@ -18,3 +18,23 @@
     def now(self) -> float:
         """Returns unix seconds."""
         return self._offset + time.monotonic()
+
+
+class BootClock:
+    """Unix time at the start, advanced also while the machine is suspended.
+
+    On Linux the monotonic clock stands still then; callers wait on.
+    """
+
+    def __init__(self):
+        self._offset = time.time() - _boot_time_s()
+
+    def now(self) -> float:
+        """Returns unix seconds."""
+        return self._offset + _boot_time_s()
+
+
+def _boot_time_s() -> float:
+    if hasattr(time, "CLOCK_BOOTTIME"):
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return time.monotonic()
--- a/tests/test_serving/helpers.py
+++ b/tests/test_serving/helpers.py
@@ -13,6 +13,8 @@
 
     status: int = 0
     body: bytes = b""
+    established_after: float = 0.0
+    handshake_s: float = 0.0
 
     def reply(self, req, status, headers, body):
         self.status, self.body = status, body
--- a/tests/test_serving/test_operators.py
+++ b/tests/test_serving/test_operators.py
@@ -43,7 +43,7 @@
             self.calls,
             self.asks.append,
             lambda: 5.0,
-            PendingOrders(self.timers.call_later),
+            PendingOrders(self.timers.call_later, lambda: 0.0),
         )
         self.page = EvacuationPage(Metrics(), self.operators)
 
--- a/tests/test_serving/test_quarantine.py
+++ b/tests/test_serving/test_quarantine.py
@@ -64,7 +64,7 @@
             table.join(row)
         self.messages = []
         timers = Timers()
-        orders = PendingOrders(timers.call_later)
+        orders = PendingOrders(timers.call_later, lambda: 0.0)
         page = QuarantinePage(
             Metrics(), table, self.messages.append, orders, store
         )
