An order that may be old is redirected, not carried out

Cause: an instance that was suspended, or whose connection was cut, reads an order after its operator has repeated it elsewhere and given the opposite one. It bases the order on the newest number, or submits it again after the conflict.

Ruled out: a killed instance (link_down within 3 ms, without link_silent; the evacuation held).

Why it works: an order is not older than its connection. PendingOrders bounds its age by the time since the connection was accepted, the time for which it may have waited for that, and the handshake. Above 0.5 s the order is answered with 307 to the same instance and the end of the connection; a caller that still waits follows, one that moved on doesn't. The age is checked as the order is read and after the wait for its connection's end. The number is read while the caller waits, so a newer order of it has a higher one. The time limit counts from when the order may have been sent, by a clock that goes on while the machine is suspended, so no conflict is resubmitted for a caller that has moved on.

The same cause: clearing a quarantined request uses the same code. greengagemoorctl follows the redirect.

A soak run of mine hung for ten minutes: two faults suspended two of three control instances and each waited for a majority. They take turns now.

--- a/bench/mutants_of_announcements.py
+++ b/bench/mutants_of_announcements.py
@@ -8,6 +8,7 @@
     "tests/test_serving/test_abandoned_orders.py",
     "tests/test_serving/test_operators.py",
 )
+WATCH = ("tests/test_aio/test_loop_watch.py",)
 COMMANDS = ("tests/test_control/test_evacuations.py",)
 DEPARTURES = ("tests/test_feed/test_departures.py",)
 ADDRESSES = ("tests/test_feed/test_reused_addresses.py",)
@@ -21,6 +22,49 @@
         "",
         ORDERS,
     ),
+    Mutant(
+        "orders: none that may be old",
+        "serving/pending_orders.py",
+        "if age_s <= MAX_AGE_S:",
+        "if True:",
+        ORDERS,
+    ),
+    Mutant(
+        "orders: none read before a suspension",
+        "serving/pending_orders.py",
+        "            if not self._redirect_if_old(req):\n"
+        "                carry_out(_sent_after(req))",
+        "            carry_out(_sent_after(req))",
+        ORDERS,
+    ),
+    Mutant(
+        "orders: a handshake that was delayed counts",
+        "serving/pending_orders.py",
+        "established_after - req.conn.handshake_s",
+        "established_after",
+        ORDERS,
+    ),
+    Mutant(
+        "orders: time limit from when it was sent",
+        "serving/operators.py",
+        "deadline = sent_after + OPERATION_TIMEOUT_S",
+        "deadline = self._now() + OPERATION_TIMEOUT_S",
+        ORDERS,
+    ),
+    Mutant(
+        "orders: connections that waited are old",
+        "aio/loop_watch.py",
+        "ACCEPT_TURNS = 4",
+        "ACCEPT_TURNS = 0",
+        WATCH,
+    ),
+    Mutant(
+        "orders: time goes on while the machine is suspended",
+        "shell/clock.py",
+        "time.clock_gettime(time.CLOCK_BOOTTIME)",
+        "time.monotonic()",
+        ("tests/test_serving/test_operations.py",),
+    ),
     Mutant(
         "orders: none resubmitted for nobody",
         "control/client.py",
--- a/greengagemoor/aio/connection.py
+++ b/greengagemoor/aio/connection.py
@@ -257,15 +257,17 @@
     @property
     def round_trip_s(self) -> float | None:
         """Round-trip time to the caller; None if not known."""
-        if self._transport is None:
-            return None
         return sockets.round_trip_s(self._transport)
 
+    @property
+    def local_address(self) -> str:
+        """This side's address, as ip:port."""
+        host, port = self._transport.get_extra_info("sockname")
+        return f"{host}:{port}"
+
     @property
     def handshake_s(self) -> float:
         """Duration of the TCP handshake at most; 0 if not known."""
-        if self._transport is None:
-            return 0.0
         return sockets.handshake_s(self._transport)
 
     @property
@@ -273,11 +275,6 @@
         """Whether no request is in progress or partly received."""
         return self._current is None and self._started_at is None
 
-    def close_if_idle(self) -> None:
-        """Closes the connection if it is idle."""
-        if self.is_idle:
-            self.close()
-
     def _schedule_timeout_check(self) -> None:
         if not self._closing:
             self._loop.call_later(TIMEOUT_CHECK_S, self._check_timeouts)
--- a/greengagemoor/aio/server.py
+++ b/greengagemoor/aio/server.py
@@ -75,7 +75,8 @@
     def close_idle(self) -> None:
         """Closes the idle connections."""
         for conn in list(self.conns):
-            conn.close_if_idle()
+            if conn.is_idle:
+                conn.close()
 
     def count_busy(self) -> int:
         """Returns the number of connections with an unanswered request."""
--- a/greengagemoor/aio/sockets.py
+++ b/greengagemoor/aio/sockets.py
@@ -87,7 +87,7 @@
 
 def _tcp_info(transport) -> tuple[int, int]:
     """Returns the round-trip time in microseconds, and retransmissions."""
-    sock = transport.get_extra_info("socket")
+    sock = transport and transport.get_extra_info("socket")
     if sock is None:
         return 0, 0
     try:
--- a/greengagemoor/cmd/http_calls.py
+++ b/greengagemoor/cmd/http_calls.py
@@ -13,6 +13,10 @@
 from greengagemoor.codes import Code
 
 TIMEOUT_S = 30.0
+NO_RETRIES = urllib3.Retry(
+    total=None, connect=0, read=0, status=0, other=0, redirect=2
+)
+"""Orders are redirected by an instance that can't tell how old they are."""
 
 
 class Exit(IntEnum):
@@ -62,7 +66,7 @@
 
 def call_instance(at: str, method: str, path: str, body: Any = None) -> Reply:
     """Calls an instance; exits the program if it can't be reached."""
-    http = urllib3.PoolManager(retries=False)
+    http = urllib3.PoolManager(retries=NO_RETRIES)
     try:
         response = http.request(
             method,
@@ -72,7 +76,8 @@
             timeout=TIMEOUT_S,
         )
     except urllib3.exceptions.HTTPError as exc:
-        typer.echo(f"{at}: {type(exc).__name__}", err=True)
+        cause = getattr(exc, "reason", None) or exc
+        typer.echo(f"{at}: {type(cause).__name__}", err=True)
         raise typer.Exit(Exit.UNREACHABLE) from exc
     text = response.data.decode()
     try:
--- a/greengagemoor/log_fields.py
+++ b/greengagemoor/log_fields.py
@@ -32,6 +32,7 @@
     "evacuation": "the latest order for a data centre, as this process has it",
     "evacuation_refused": "an operator's order names an unknown data centre",
     "order": "an operator's order is submitted, based on the latest number",
+    "order_redirected": "an order may be old; its caller must send it again",
     "order_discarded": "an operator's caller disconnected before its order ran",
     "operation": "an operator's put, read or evacuation has completed",
     "ready": "this entry has become ready for callers, or is no longer ready",
--- a/greengagemoor/serving/control.py
+++ b/greengagemoor/serving/control.py
@@ -14,7 +14,7 @@
 from greengagemoor.aio.loop_watch import LoopWatch
 from greengagemoor.aio.server import drain
 from greengagemoor.control import messages as control
-from greengagemoor.control.client import ControlClient, Done
+from greengagemoor.control.client import Done
 from greengagemoor.control.join_messages import SeedsChanged
 from greengagemoor.errors import DocumentError
 from greengagemoor.feed import messages as feed
@@ -31,6 +31,7 @@
 )
 from greengagemoor.serving.metrics import ServingMetrics
 from greengagemoor.serving.open_calls import OpenCalls
+from greengagemoor.serving.operations import Operations
 from greengagemoor.serving.operators import OPERATION_TIMEOUT_S, OperatorCalls
 from greengagemoor.serving.pending_orders import PendingOrders
 from greengagemoor.serving.quota_dealing import QuotaDealing
@@ -64,7 +65,6 @@
         timing = HubTiming(announce=cfg.announce_s)
         self._hub = FeedHub(timing, cfg.instance, first_number)
         self._quotas = QuotaDealing(cfg)
-        self._client = ControlClient([cfg.instance], self._rng)
         self._durable = DurableState(
             cfg.data_folder,
             cfg.instance,
@@ -85,12 +85,12 @@
         self._linked_members: dict | None = None
         self._contacts: dict[str, str] = {}
         self._calls = OpenCalls()
-        self._loop_watch = LoopWatch(BootClock().now)
-        orders = PendingOrders(
-            asyncio.get_running_loop().call_later, self._loop_watch.now
-        )
+        now = BootClock().now
+        self._loop_watch = LoopWatch(now)
+        self._operations = Operations(cfg.instance, self._rng, now)
+        orders = PendingOrders(asyncio.get_running_loop().call_later, now)
         self._operators = OperatorCalls(
-            cfg, dialect, self._calls, self._ticker.put, self.clock.now, orders
+            cfg, dialect, self._calls, self._ticker.put, now, orders
         )
         self.calls = ControlCalls(
             dialect,
@@ -156,8 +156,8 @@
             batch = list(inbox)
             inbox.clear()
             self._step(now, batch, inbox)
-        parts = (self._hub, self._client, self._quotas.dealer)
-        times = [part.next_wake() for part in parts]
+        times = [self._hub.next_wake(), self._quotas.dealer.next_wake()]
+        times.append(self._operations.next_wake(now))
         if self._decider is not None:
             times.append(self._decider.next_wake())
         return min((at for at in times if at is not None), default=None)
@@ -176,7 +176,7 @@
         out += self._hub.step(now, filter(message_dispatch.is_for_hub, batch))
         self._recovery.storage.store_departures()
         for_client = filter(message_dispatch.is_for_client, batch)
-        out += self._client.step(now, for_client)
+        out += self._operations.step(for_client)
         out += self._quotas.step(now, batch)
         for msg in out:
             self._handle(msg, inbox)
@@ -265,7 +265,7 @@
         self._links.set_addresses({*self.cfg.seeds, *self._contacts.values()})
         addresses = {m.address for m in state.members.values()}
         names = {m.instance for m in state.members.values()}
-        self._client.targets = sorted(names.union(self._contacts))
+        self._operations.set_targets(names.union(self._contacts))
         self._hub.set_peers(tuple(sorted(addresses)), frozenset(names))
         self._hub.set_outside_group(not state.group)
         # One that asks to join may have been removed and replaced.
--- a/greengagemoor/serving/open_calls.py
+++ b/greengagemoor/serving/open_calls.py
@@ -46,6 +46,11 @@
             self._writers[req.token] = write
         return req.token
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a call has no answer yet."""
+        return bool(self._waiting)
+
     def discard(self, req: HttpRequest) -> None:
         """Discards a call whose connection closed."""
         self._waiting.pop(req.token, None)
--- a/greengagemoor/serving/operators.py
+++ b/greengagemoor/serving/operators.py
@@ -29,7 +29,7 @@
     from greengagemoor.serving.settings import ServingSettings
 
 OPERATION_TIMEOUT_S = 0.9
-"""Time limit of an operation; operators retry elsewhere after a second."""
+"""Time limit of an operation; operators move on after a second."""
 EVACUATIONS_PATH = "/evacuations"
 MAX_FAULTS = 5
 JSON_TYPE = ((b"Content-Type", b"application/json"),)
@@ -55,7 +55,7 @@
             pending_calls: holds each call until it is answered.
             put: receives ``OperationRequest`` and ``OperationAbandoned``.
             now: returns the time in seconds, by the clock of
-                ``OperationRequest``.
+                ``OperationRequest`` and of ``orders``.
             orders: carries out evacuations while their callers wait.
         """
         self.cfg = cfg
@@ -119,10 +119,9 @@
             call: the evacuation; its data centre must be valid.
             write: builds the reply.
         """
-        token = self._calls.open(req, write)
-        deadline = self._now() + OPERATION_TIMEOUT_S
 
-        def submit() -> None:
+        def submit(sent_after: float) -> None:
+            token = self._calls.open(req, write)
             number = self._latest_number(call.data_centre)
             command = SetEvacuation(call.data_centre, call.active, number, 0.0)
             log.event(
@@ -130,8 +129,11 @@
                 data_centre=call.data_centre,
                 active=call.active,
                 number=number,
-                age_s=round(self._orders.age_s(req), 3),
+                age_s=round(self._now() - sent_after, 3),
             )
+            # With a newer number, the group would accept the order again after
+            # a conflict; by then its caller may have given the opposite one.
+            deadline = sent_after + OPERATION_TIMEOUT_S
             self._put(
                 OperationRequest(token, OpKind.EVACUATE, deadline, command)
             )
@@ -141,8 +143,8 @@
     def _latest_number(self, data_centre: str) -> int:
         """Returns the number of the latest change known to this instance.
 
-        An order is based on it only once its caller is known to wait: then a
-        newer order of the same caller has a higher number.
+        An order is based on it only while its caller still waits: then a newer
+        order of the same caller has a higher number.
         """
         if self.decider is None:
             return 0
--- a/greengagemoor/serving/quarantine.py
+++ b/greengagemoor/serving/quarantine.py
@@ -85,7 +85,7 @@
             _reply(req, 404, {"error": "no request has this digest"})
             return
 
-        def clear() -> None:
+        def clear(_sent_after: float) -> None:
             self._put(ClearSuspect(fingerprint))
             # Its first step follows the tick that handles the message.
             background.spawn("clear", self._confirm(req, fingerprint))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -37,7 +37,9 @@
     Attributes:
         kinds: faults to choose from.
         crash_faults: number of searchers that faults have crashed so far.
-        evacuating: data centres under evacuation by a fault.
+        evacuations: each held while a fault evacuates that data centre.
+        suspension: held while a fault suspends a control instance until the
+            others have accepted orders; two would leave no majority.
         disk_loss: held while a fault decides on the loss of a disk.
         injected: names of the faults injected so far.
     """
@@ -63,8 +65,9 @@
         self.searchers: list[Searcher] = []
         self.injected: list[str] = []
         self.crash_faults = 0
-        self.evacuating: set[str] = set()
+        self.evacuations = {name: asyncio.Lock() for name in DATA_CENTRES}
         self.disk_loss = asyncio.Lock()
+        self.suspension = asyncio.Lock()
         self._last_port = 8080
 
     async def execute(self) -> list[str]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,6 +28,7 @@
 TOP_K = 5
 MIN_COVERAGE = 0.75
 DEADLINE_MS = 1500
+MAX_REDIRECTS = 2
 
 
 def document(version: int) -> dict:
@@ -84,6 +85,7 @@
         self._rng = rng
         self._pool = Pool()
         self._version = 0
+        self._left_open: list = []
 
     async def put(self) -> bool:
         """Puts the next document at any control instance.
@@ -107,18 +109,22 @@
                 )
         return False
 
-    async def set_evacuation(self, data_centre: str, action: str) -> bool:
+    async def set_evacuation(
+        self, data_centre: str, action: str, first: str = ""
+    ) -> bool:
         """Starts or finishes an evacuation at any control instance.
 
         Args:
             data_centre: data centre to evacuate.
             action: ``start`` or ``finish``.
+            first: address to try before the others, if given.
 
         Returns whether it was accepted.
         """
         path = f"/v1/evacuation/{data_centre}/{action}"
-        for address in self._cluster.control_addresses(self._rng):
-            outcome = await call(self._pool, address, "POST", path)
+        addresses = self._cluster.control_addresses(self._rng)
+        for address in [first, *addresses] if first else addresses:
+            outcome = await self._order(address, path)
             if outcome is not None and outcome.status == 200:
                 return True
             if outcome is not None and outcome.status < 500:
@@ -127,6 +133,22 @@
                 )
         return False
 
+    async def _order(self, address: str, path: str) -> HttpResponse | None:
+        """Sends an order, and again if it is redirected.
+
+        Leaves the connection open in half of the calls without an answer.
+        """
+        left_open = self._rng.choice((self._left_open, None))
+        for _ in range(1 + MAX_REDIRECTS):
+            outcome = await call(
+                self._pool, address, "POST", path, left_open=left_open
+            )
+            if outcome is None or outcome.status != 307:
+                break
+            headers = {key.lower(): value for key, value in outcome.headers}
+            address = headers[b"location"].decode().split("/")[2]
+        return outcome
+
     async def read(self) -> int | None:
         """Reads the document at one instance; returns its version.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import signal
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-from soak.cluster import DATA_CENTRES
+from soak.cluster import DATA_CENTRES, EVACUATION_LIMIT_S, PORTS
 from soak.full_disks import fill_all_disks, fill_disk, fill_disks_in_turn
 from soak.searchers import DEPARTURE_S
 from soak.tolerance import tolerates_disk_loss
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from soak.__main__ import Run
 
 
@@ -113,21 +116,53 @@
 
 
 async def evacuate(run: Run) -> None:
-    """Evacuates a data centre for 1 to 8 s."""
+    """Evacuates a data centre for 1 to 8 s, up to three times in a row."""
+    async with _evacuation(run) as data_centre:
+        for _ in range(run.rng.randint(1, 3)):
+            await _order(run, data_centre, "start")
+            await _check_evacuated(run, data_centre, run.rng.uniform(1.0, 8.0))
+            await _order(run, data_centre, "finish")
+
+
+async def evacuate_while_frozen(run: Run) -> None:
+    """Evacuates again while an instance is suspended that was told to end it.
+
+    The operator repeats at another instance what the suspended one has not
+    answered.
+    """
+    machine = run.rng.choice(run.cluster.of_role("control"))
+    async with _evacuation(run) as data_centre, run.suspension:
+        await _order(run, data_centre, "start")
+        run.cluster.signal(machine, signal.SIGSTOP)
+        try:
+            address = f"{machine.ip}:{PORTS['control']}"
+            await _order(run, data_centre, "finish", address)
+            await _order(run, data_centre, "start")
+        finally:
+            run.cluster.signal(machine, signal.SIGCONT)
+        await _check_evacuated(run, data_centre, EVACUATION_LIMIT_S + 2.0)
+        await _order(run, data_centre, "finish")
+
+
+@asynccontextmanager
+async def _evacuation(run: Run) -> AsyncIterator[str]:
+    """Yields a data centre that no other fault evacuates."""
     data_centre = run.rng.choice(DATA_CENTRES)
-    if data_centre in run.evacuating:
-        return
-    run.evacuating.add(data_centre)
-    try:
-        while not await run.operator.set_evacuation(data_centre, "start"):
-            await asyncio.sleep(0.1)
-        run.cluster.evacuated[data_centre] = asyncio.get_running_loop().time()
-        await asyncio.sleep(run.rng.uniform(1.0, 8.0))
-        run.cluster.evacuated.pop(data_centre)
-        while not await run.operator.set_evacuation(data_centre, "finish"):
-            await asyncio.sleep(0.1)
-    finally:
-        run.evacuating.discard(data_centre)
+    async with run.evacuations[data_centre]:
+        yield data_centre
+
+
+async def _order(
+    run: Run, data_centre: str, action: str, first: str = ""
+) -> None:
+    while not await run.operator.set_evacuation(data_centre, action, first):
+        await asyncio.sleep(0.1)
+
+
+async def _check_evacuated(run: Run, data_centre: str, seconds: float) -> None:
+    run.cluster.evacuated[data_centre] = asyncio.get_running_loop().time()
+    await asyncio.sleep(seconds)
+    run.cluster.evacuated.pop(data_centre)
 
 
 ALL = (
@@ -146,4 +181,5 @@
     drain_searcher,
     leave_searcher,
     evacuate,
+    evacuate_while_frozen,
 )
--- a/soak/searchers.py
+++ b/soak/searchers.py
@@ -46,9 +46,18 @@
 
 
 async def call(
-    pool: Pool, address: str, method: str, path: str, body: bytes = b""
+    pool: Pool,
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    left_open: list | None = None,
 ) -> HttpResponse | None:
-    """Makes one HTTP call; None without a complete answer within 1 s."""
+    """Makes one HTTP call; None without a complete answer within 1 s.
+
+    Its connection is closed then, or stays open if ``left_open`` is given; its
+    handle is added to that list.
+    """
     fut = asyncio.get_running_loop().create_future()
     head = (
         f"{method} {path} HTTP/1.1\r\nHost: {address}\r\n"
@@ -61,7 +70,9 @@
 
     sending = pool.send(address, head.encode() + body, done, lambda _: True)
     outcome = await wait_for_result(1.0, fut)
-    if outcome is None:
+    if outcome is None and left_open is not None:
+        left_open.append(sending)
+    elif outcome is None:
         sending.cancel()
     return outcome if isinstance(outcome, HttpResponse) else None
 
--- a/tests/test_serving/helpers.py
+++ b/tests/test_serving/helpers.py
@@ -15,9 +15,13 @@
     body: bytes = b""
     established_after: float = 0.0
     handshake_s: float = 0.0
+    local_address: str = "10.0.0.2:8224"
+    headers: tuple = ()
+    closes: bool = False
 
-    def reply(self, req, status, headers, body):
+    def reply(self, req, status, headers, body=b"", *, close=False):
         self.status, self.body = status, body
+        self.headers, self.closes = tuple(headers), close
 
 
 class Metrics:
--- a/tests/test_serving/test_abandoned_orders.py
+++ b/tests/test_serving/test_abandoned_orders.py
@@ -110,7 +110,6 @@
         assert sorted(run(submitted(play))) == [False, True]
 
 
-@pytest.mark.xfail(reason="KNOWN-RED.txt, issue 58", strict=True)
 class TestCallerThatMovedOn:
     """A caller gives up an order, and leaves its connection open."""
 
--- a/tests/test_serving/test_acknowledged.py
+++ b/tests/test_serving/test_acknowledged.py
@@ -26,6 +26,7 @@
 from greengagemoor.serving.control import ControlApp
 from greengagemoor.serving.operators import EvacuationPage
 from greengagemoor.serving.settings import ServingSettings
+from greengagemoor.shell.clock import BootClock
 from greengagemoor.storage.folder import DataFolder
 from tests.test_aio.helpers import run
 from tests.test_platform.test_malformed_input import BEAT
@@ -41,6 +42,8 @@
     status: asyncio.Future = attrs.field(
         factory=lambda: asyncio.get_running_loop().create_future()
     )
+    established_after: float = attrs.field(factory=lambda: BootClock().now())
+    handshake_s: float = 0.0
 
     def reply(self, req, status, headers, body):
         self.status.set_result(status)
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -222,7 +222,7 @@
             "group", "127.0.0.3#a", False, "127.0.0.9#a", (leader,)
         )
         app, _ = play([], member_without_group(), Received("127.0.0.3", reply))
-        assert "127.0.0.9" in app._client.targets
+        assert "127.0.0.9" in app._operations.targets
         assert "127.0.0.9:7740" in app._links.dialled_addresses
 
 
--- a/tests/test_serving/test_operators.py
+++ b/tests/test_serving/test_operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from math import inf
 
 import pytest
 
@@ -19,8 +20,12 @@
 from greengagemoor.platform.dialect import PlatformDialect
 from greengagemoor.serving.dialect import EvacuateCall
 from greengagemoor.serving.open_calls import OpenCalls
-from greengagemoor.serving.operators import EvacuationPage, OperatorCalls
-from greengagemoor.serving.pending_orders import PendingOrders
+from greengagemoor.serving.operators import (
+    OPERATION_TIMEOUT_S,
+    EvacuationPage,
+    OperatorCalls,
+)
+from greengagemoor.serving.pending_orders import MAX_AGE_S, PendingOrders
 from greengagemoor.serving.settings import ServingSettings
 from tests.test_serving.helpers import Caller, Metrics, Timers
 
@@ -34,6 +39,7 @@
         cfg = ServingSettings(
             "10.0.0.2", "dc1", "10.0.0.2:7740", (), data_centres=known
         )
+        self.now = 5.0
         self.asks = []
         self.calls = OpenCalls()
         self.timers = Timers()
@@ -42,20 +48,20 @@
             PlatformDialect(),
             self.calls,
             self.asks.append,
-            lambda: 5.0,
-            PendingOrders(self.timers.call_later, lambda: 0.0),
+            lambda: self.now,
+            PendingOrders(self.timers.call_later, lambda: self.now),
         )
         self.page = EvacuationPage(Metrics(), self.operators)
 
-    def order(self, data_centre, active=True):
-        caller = Caller()
-        req = HttpRequest("POST", "/", [], b"", 0.0, caller)
+    def order(self, data_centre, active=True, caller=None):
+        caller = caller or Caller(established_after=self.now)
+        req = HttpRequest("POST", "/order", [], b"", 0.0, caller)
         self.operators.handle_evacuate(req, EvacuateCall(data_centre, active))
         self.timers.expire()
         return caller
 
     def call(self, method, path="/evacuations", body=b""):
-        caller = Caller()
+        caller = Caller(established_after=self.now)
         self.page.handle_request(
             HttpRequest(method, path, [], body, 0.0, caller)
         )
@@ -104,7 +110,7 @@
     def test_operator_that_disconnected(self):
         """Guards against an answer on a connection that another caller uses."""
         harness = OperatorsHarness()
-        caller = Caller()
+        caller = Caller(established_after=harness.now)
         req = HttpRequest("POST", "/", [], b"", 0.0, caller)
         harness.operators.handle_evacuate(req, EvacuateCall("dc1", True))
         harness.timers.expire()
@@ -119,13 +125,62 @@
     def test_operator_that_disconnected_before(self):
         """Guards against an order that is carried out for nobody."""
         harness = OperatorsHarness()
-        req = HttpRequest("POST", "/", [], b"", 0.0, Caller())
+        caller = Caller(established_after=harness.now)
+        req = HttpRequest("POST", "/", [], b"", 0.0, caller)
         harness.operators.handle_evacuate(req, EvacuateCall("dc1", True))
         harness.operators.discard(req)
         harness.timers.expire()
         assert harness.asks == [OperationAbandoned(req.token)]
 
 
+class TestAge:
+    """Orders whose callers may have moved on."""
+
+    def test_order_that_may_be_old_is_redirected(self):
+        """Guards against a stale order that undoes a newer one."""
+        harness = OperatorsHarness()
+        old = Caller(established_after=harness.now - 2 * MAX_AGE_S)
+        harness.order("dc1", caller=old)
+        assert not harness.asks
+        assert old.status == 307
+        assert old.headers == ((b"Location", b"http://10.0.0.2:8224/order"),)
+        assert old.closes
+        assert not harness.calls.is_waiting
+
+    def test_redirected_order_is_carried_out(self):
+        """Guards against a caller that is redirected for ever."""
+        harness = OperatorsHarness()
+        harness.order("dc1", caller=Caller(established_after=0.0))
+        harness.order("dc1")
+        assert len(harness.asks) == 1
+
+    def test_long_handshake(self):
+        """Guards against an order that was delayed with its handshake."""
+        harness = OperatorsHarness()
+        caller = Caller(established_after=harness.now, handshake_s=inf)
+        assert harness.order("dc1", caller=caller).status == 307
+        assert not harness.asks
+
+    def test_time_limit_counts_from_when_it_may_have_been_sent(self):
+        """Guards against an order that is resubmitted after its caller left."""
+        harness = OperatorsHarness()
+        caller = Caller(established_after=harness.now - 0.2, handshake_s=0.1)
+        harness.order("dc1", caller=caller)
+        (ask,) = harness.asks
+        assert ask.deadline == pytest.approx(5.0 - 0.3 + OPERATION_TIMEOUT_S)
+
+    def test_suspended_after_it_was_read(self):
+        """Guards against a stale order that is carried out on resumption."""
+        harness = OperatorsHarness()
+        caller = Caller(established_after=harness.now)
+        req = HttpRequest("POST", "/", [], b"", 0.0, caller)
+        harness.operators.handle_evacuate(req, EvacuateCall("dc1", True))
+        harness.now += 2 * MAX_AGE_S
+        harness.timers.expire()
+        assert not harness.asks
+        assert caller.status == 307
+
+
 class TestPage:
     """Calls to ``/evacuations``."""
 
--- a/tests/test_serving/test_quarantine.py
+++ b/tests/test_serving/test_quarantine.py
@@ -35,6 +35,7 @@
         *,
         disconnects=False,
         stored=True,
+        age_s=0.0,
     ):
         """Returns the answer to a call.
 
@@ -44,6 +45,7 @@
             body: its body.
             disconnects: whether the caller disconnects at once.
             stored: whether the disk takes the suspects; None if it stalls.
+            age_s: age of its connection in seconds.
         """
 
         async def store():
@@ -52,13 +54,14 @@
             return stored
 
         async def play():
-            caller = self.handle(method, path, body, disconnects, store)
+            caller = Caller(established_after=-age_s)
+            self.handle(caller, method, path, body, disconnects, store)
             await asyncio.sleep(0.05)
             return caller
 
         return run(play())
 
-    def handle(self, method, path, body, disconnects, store):
+    def handle(self, caller, method, path, body, disconnects, store):
         table = SuspectTable()
         for row in (SUSPECT, QUARANTINED, WATCHED):
             table.join(row)
@@ -68,13 +71,11 @@
         page = QuarantinePage(
             Metrics(), table, self.messages.append, orders, store
         )
-        caller = Caller()
         req = HttpRequest(method, path, [], body, 0.0, caller)
         page.handle_request(req)
         if disconnects:
             page.handle_disconnect(req)
         timers.expire()
-        return caller
 
     def test_list(self):
         answer = self.call("GET")
@@ -89,6 +90,13 @@
         assert self.call("POST", body=body).status == 200
         assert self.messages == [ClearSuspect(QUARANTINED.fingerprint)]
 
+    def test_clear_that_may_be_old(self):
+        """Guards against a late order that clears a request once more."""
+        body = json.dumps({"digest": QUARANTINED.fingerprint.hex()}).encode()
+        caller = self.call("POST", body=body, age_s=1.0)
+        assert caller.status == 307
+        assert self.messages == []
+
     def test_clear_whose_caller_disconnected(self):
         """Guards against a late order that clears a request once more."""
         body = json.dumps({"digest": QUARANTINED.fingerprint.hex()}).encode()
--- a/tests/test_soak/test_late_orders.py
+++ b/tests/test_soak/test_late_orders.py
@@ -6,8 +6,6 @@
 import json
 import signal
 
-import pytest
-
 from greengagemoor.platform.boot import METRICS_PORT
 from soak.cluster import DATA_CENTRES, PORTS
 from soak.searchers import call
@@ -71,7 +69,6 @@
         group.cluster.stop()
 
 
-@pytest.mark.xfail(reason="KNOWN-RED.txt, issue 58", strict=True)
 class TestSuspendedInstance:
     """An instance resumes after its operator has moved on."""
 
