greengagemoorctl takes no answer that was cut in its head for accepted

Cause: http.client takes the end of the connection for the end of the headers, so an answer of 200 without a length and a body came out, and the tool went by its status.

--- a/greengagemoor/cmd/http_calls.py
+++ b/greengagemoor/cmd/http_calls.py
@@ -65,7 +65,7 @@
 
 
 def call_instance(at: str, method: str, path: str, body: Any = None) -> Reply:
-    """Calls an instance; exits the program if it can't be reached."""
+    """Calls an instance; exits the program if there is no whole answer."""
     http = urllib3.PoolManager(retries=NO_RETRIES)
     try:
         response = http.request(
@@ -79,6 +79,9 @@
         cause = getattr(exc, "reason", None) or exc
         typer.echo(f"{at}: {type(cause).__name__}", err=True)
         raise typer.Exit(Exit.UNREACHABLE) from exc
+    if not _is_framed(response):
+        typer.echo(f"{at}: the answer was cut off", err=True)
+        raise typer.Exit(Exit.UNKNOWN)
     text = response.data.decode()
     try:
         return Reply(response.status, json.loads(text), text)
@@ -86,6 +89,17 @@
         return Reply(response.status, None, text)
 
 
+def _is_framed(response: urllib3.BaseHTTPResponse) -> bool:
+    """Whether an answer states its length; instances always do.
+
+    ``http.client`` takes the end of the connection for the end of the headers.
+    """
+    headers = response.headers
+    return bool(headers.get("Content-Length")) or (
+        "chunked" in headers.get("Transfer-Encoding", "")
+    )
+
+
 def show(body: Any) -> None:
     """Prints a decoded answer."""
     typer.echo(json.dumps(body, indent=2, sort_keys=True))
--- a/tests/test_cmd/test_http_calls.py
+++ b/tests/test_cmd/test_http_calls.py
@@ -97,3 +97,27 @@
             http_calls.call_instance(address, "POST", "/evacuations", ORDER)
         assert exc.value.exit_code == Exit.UNREACHABLE
         assert len(received) == 3
+
+
+class TestTruncated:
+    """An instance ends, or its connection, before it has sent its answer."""
+
+    @pytest.mark.parametrize("size", range(len(response(b"200 OK", ACCEPTED))))
+    def test_is_not_taken_for_accepted(self, size):
+        """Guards against an order that is reported as accepted for no reason.
+
+        The answer may end at any byte, also within its head.
+        """
+
+        def replies(address):
+            yield response(b"200 OK", ACCEPTED)[:size]
+
+        with (
+            instance(replies) as (address, _),
+            pytest.raises(typer.Exit) as exc,
+        ):
+            reply = http_calls.call_instance(
+                address, "POST", "/evacuations", ORDER
+            )
+            http_calls.exit_with(reply)
+        assert exc.value.exit_code in (Exit.UNKNOWN, Exit.UNREACHABLE)
--- a/tests/test_shell/test_attempt_dispatch.py
+++ b/tests/test_shell/test_attempt_dispatch.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import json
+import socket
 from types import SimpleNamespace
 
 import pytest
 
+from greengagemoor.query.messages import Failure, StartAttempt
 from greengagemoor.shell.attempt_dispatch import (
     AttemptDispatcher,
     _InFlightAttempt,
@@ -13,6 +16,25 @@
 from greengagemoor.shell.clock import Clock
 
 
+def attempt(address):
+    now = Clock().now()
+    return StartAttempt(
+        attempt_id=1,
+        server="i1",
+        address=address,
+        share=1,
+        service="s0",
+        caller="c",
+        request_id="r",
+        snapshot=1,
+        shards=(0,),
+        deadline=now + 20.0,
+        send_before=now + 20.0,
+        repeatable=False,
+        body="",
+    )
+
+
 class Socket:
     """Records whether it was shut down."""
 
@@ -41,3 +63,35 @@
         dispatcher._workers.submit(dispatcher._send_cancel, flight)
         dispatcher.stop()
         assert sock.closed
+
+
+class TestTruncated:
+    """A backend server closes the connection within its answer."""
+
+    @pytest.mark.parametrize("status", [b"200 OK", b"503 Full"])
+    def test_is_no_answer(self, status):
+        """Guards against part of an answer, or of a refusal, that counts.
+
+        The head may end at any byte; what ends it is not reported.
+        """
+        body = json.dumps({"attempt_id": "p/1", "ran": False}).encode()
+        length = b"Content-Length: %d" % len(body)
+        whole = b"HTTP/1.1 %s\r\nA: b\r\n%s\r\n\r\n%s" % (status, length, body)
+        cuts = [whole[:size] for size in range(len(whole))]
+        ends = []
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = "{}:{}".format(*listener.getsockname())
+            dispatcher = AttemptDispatcher("p", 1, Clock(), ends.append)
+            for cut in cuts:
+                dispatcher.start_attempt(attempt(address))
+                conn, _ = listener.accept()
+                with conn:
+                    conn.recv(65_536)
+                    conn.sendall(cut)
+                    conn.shutdown(socket.SHUT_WR)
+                    while conn.recv(65_536):
+                        pass
+            dispatcher.stop()
+        uncertain = {Failure.BROKEN, Failure.MISMATCH}
+        assert len(ends) == len(cuts)
+        assert {end.failure for end in ends} <= uncertain
