State machine of evacuations: operators that move on, orders that overlap

The instance that was asked is suspended or cut off, its order repeated at the others and then reversed; other orders go on beside it.

--- a/tests/test_control/test_evacuations.py
+++ b/tests/test_control/test_evacuations.py
@@ -236,6 +236,7 @@
         self.fleet = start_group()
         self.operator = Evacuator(self.fleet)
         self.may_hold = {place: {False} for place in PLACES}
+        self.unanswered = {place: [] for place in PLACES}
 
     @rule(
         at=st.sampled_from(GROUP),
@@ -246,11 +247,64 @@
     def order(self, at, place, active, wait):
         if at not in self.fleet.nodes or at in self.fleet.frozen:
             return
+        started_at = self.fleet.now
         if self.operator.order(at, place, active=active, wait=wait):
-            self.may_hold[place] = {active}
+            # Orders whose callers still waited may hold instead.
+            self.may_hold[place] = {active} | {
+                other
+                for deadline, other in self.unanswered[place]
+                if deadline > started_at
+            }
         else:
             self.may_hold[place] |= {active}
 
+    @rule(
+        at=st.sampled_from(GROUP),
+        place=st.sampled_from(PLACES),
+        active=st.booleans(),
+        suspended=st.booleans(),
+    )
+    def order_without_waiting(self, at, place, active, suspended):
+        """Submits an order beside others, also as the instance is suspended."""
+        if at not in self.fleet.nodes:
+            return
+        if suspended and at not in self.fleet.frozen:
+            self.fleet.freeze(at)
+        self.operator.submit(at, place, active=active, wait=OPERATION_TIMEOUT_S)
+        self.may_hold[place] |= {active}
+        deadline = self.fleet.now + OPERATION_TIMEOUT_S
+        self.unanswered[place].append((deadline, active))
+
+    @rule(
+        at=st.sampled_from(GROUP),
+        place=st.sampled_from(PLACES),
+        active=st.booleans(),
+        how=st.sampled_from(["suspended", "cut off", "cut off one way"]),
+    )
+    def move_on(self, at, place, active, how):
+        """Repeats an order elsewhere, then gives the opposite one."""
+        if at not in self.fleet.nodes or at in self.fleet.frozen:
+            return
+        if how == "suspended":
+            self.fleet.freeze(at)
+        else:
+            self.fleet.cut_off(at, one_way=how == "cut off one way")
+        self.order_without_waiting(at, place, active, False)
+        self.fleet.run(1.0)
+        for other in GROUP:
+            self.order(other, place, active, 3.0)
+        for other in GROUP:
+            self.order(other, place, not active, 0.9)
+        self.resume(at)
+        self.fleet.heal()
+        self.fleet.run(0.7)
+        self.read(next(name for name in GROUP if name != at))
+
+    @rule(name=st.sampled_from(GROUP))
+    def resume(self, name):
+        if name in self.fleet.frozen:
+            self.fleet.thaw(name)
+
     @rule(at=st.sampled_from(GROUP))
     def read(self, at):
         if at in self.fleet.nodes and at not in self.fleet.frozen:
@@ -302,6 +356,8 @@
         self.fleet.drop_share = self.fleet.double_share = 0.0
         self.fleet.jitter = 0.0
         self.fleet.heal()
+        for name in list(self.fleet.frozen):
+            self.fleet.thaw(name)
         for name in GROUP:
             if name not in self.fleet.nodes:
                 self.fleet.start(name)
