--- a/greengagemoor/aio/connection.py
+++ b/greengagemoor/aio/connection.py
@@ -262,7 +262,7 @@
     @property
     def local_address(self) -> str:
         """This side's address, as ip:port."""
-        host, port = self._transport.get_extra_info("sockname")
+        host, port = self._transport.get_extra_info("sockname")[:2]
         return f"{host}:{port}"
 
     @property
--- a/greengagemoor/serving/operators.py
+++ b/greengagemoor/serving/operators.py
@@ -131,8 +131,8 @@
                 number=number,
                 age_s=round(self._now() - sent_after, 3),
             )
-            # With a newer number, the group would accept the order again after
-            # a conflict; by then its caller may have given the opposite one.
+            # Until then a conflicting order is submitted with a newer number,
+            # so its caller must still wait.
             deadline = sent_after + OPERATION_TIMEOUT_S
             self._put(
                 OperationRequest(token, OpKind.EVACUATE, deadline, command)
