Answers to operators' calls end their connections

Cause: each redirect used up one of its idle connections, of 2.4 and 10.3 s; the third was new, but its loop had been blocked for 0.33 to 0.46 s.

Now such connections aren't kept, so a caller's next order comes on a new one. Announcements of searchers keep theirs.

--- a/greengagemoor/serving/open_calls.py
+++ b/greengagemoor/serving/open_calls.py
@@ -56,14 +56,24 @@
         self._waiting.pop(req.token, None)
         self._writers.pop(req.token, None)
 
-    def answer(self, token: int, reply: Reply) -> None:
-        """Answers a call, unless its connection closed."""
+    def answer(self, token: int, reply: Reply, *, close: bool = False) -> None:
+        """Answers a call, unless its connection closed.
+
+        Args:
+            token: as returned by ``open``.
+            reply: the answer.
+            close: whether the connection ends after it.
+        """
         req = self._waiting.pop(token, None)
         if req is not None:
-            answer(req, reply)
+            answer(req, reply, close=close)
 
     def complete(self, msg: Done) -> None:
-        """Answers an operator's call whose operation has ended."""
+        """Answers an operator's call whose operation has ended.
+
+        Its connection ends: an order on one that was kept would be redirected
+        for its supposed age, and callers follow only a few redirects.
+        """
         code = msg.reply.code
         log.event(
             "operation",
@@ -75,12 +85,12 @@
         )
         write = self._writers.pop(msg.token, None)
         if write is not None:
-            self.answer(msg.token, write(msg.reply))
+            self.answer(msg.token, write(msg.reply), close=True)
 
 
-def answer(req: HttpRequest, reply: Reply) -> None:
+def answer(req: HttpRequest, reply: Reply, *, close: bool = False) -> None:
     """Sends the answer to a call."""
-    req.conn.reply(req, reply.status, reply.headers, reply.body)
+    req.conn.reply(req, reply.status, reply.headers, reply.body, close=close)
 
 
 class BadCalls:
--- a/tests/test_serving/test_acknowledged.py
+++ b/tests/test_serving/test_acknowledged.py
@@ -45,7 +45,7 @@
     established_after: float = attrs.field(factory=lambda: BootClock().now())
     handshake_s: float = 0.0
 
-    def reply(self, req, status, headers, body):
+    def reply(self, req, status, headers, body, *, close=False):
         self.status.set_result(status)
 
 
--- a/tests/test_serving/test_control.py
+++ b/tests/test_serving/test_control.py
@@ -38,7 +38,7 @@
 
     statuses: list[int] = attrs.field(factory=list)
 
-    def reply(self, req, status, headers, body):
+    def reply(self, req, status, headers, body, *, close=False):
         self.statuses.append(status)
 
 
--- a/tests/test_serving/test_operators.py
+++ b/tests/test_serving/test_operators.py
@@ -154,6 +154,17 @@
         harness.order("dc1")
         assert len(harness.asks) == 1
 
+    def test_connection_ends_with_the_answer(self):
+        """Guards against a pool of connections on which orders are redirected.
+
+        Callers follow two redirects, and a pool may hold more connections.
+        """
+        harness = OperatorsHarness()
+        caller = harness.order("dc1")
+        harness.end(Code.ACCEPTED)
+        assert caller.status == 200
+        assert caller.closes
+
     def test_long_handshake(self):
         """Guards against an order that was delayed with its handshake."""
         harness = OperatorsHarness()
