--- a/tests/test_shell/test_attempt_dispatch.py
+++ b/tests/test_shell/test_attempt_dispatch.py
@@ -1,4 +1,4 @@
-"""Cancellations of attempts reach the searcher or close the connection."""
+"""Attempts at backend servers: cancellations, and answers cut off."""
 
 from __future__ import annotations
 
@@ -6,32 +6,22 @@
 import socket
 from types import SimpleNamespace
 
+import attrs
 import pytest
 
-from greengagemoor.query.messages import Failure, StartAttempt
+from greengagemoor.query.messages import Failure
 from greengagemoor.shell.attempt_dispatch import (
     AttemptDispatcher,
     _InFlightAttempt,
 )
 from greengagemoor.shell.clock import Clock
+from tests.test_shell.test_backend_api import ATTEMPT
 
 
 def attempt(address):
-    now = Clock().now()
-    return StartAttempt(
-        attempt_id=1,
-        server="i1",
-        address=address,
-        share=1,
-        service="s0",
-        caller="c",
-        request_id="r",
-        snapshot=1,
-        shards=(0,),
-        deadline=now + 20.0,
-        send_before=now + 20.0,
-        repeatable=False,
-        body="",
+    soon = Clock().now() + 20.0
+    return attrs.evolve(
+        ATTEMPT, address=address, deadline=soon, send_before=soon
     )
 
 
@@ -74,7 +64,7 @@
 
         The head may end at any byte; what ends it is not reported.
         """
-        body = json.dumps({"attempt_id": "p/1", "ran": False}).encode()
+        body = json.dumps({"attempt_id": "p/9", "ran": False}).encode()
         length = b"Content-Length: %d" % len(body)
         whole = b"HTTP/1.1 %s\r\nA: b\r\n%s\r\n\r\n%s" % (status, length, body)
         cuts = [whole[:size] for size in range(len(whole))]
